--- /dev/null
+++ b/bench/trace.cpp
@@ -0,0 +1,132 @@
+#include "trace.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <pcg_random.hpp>
+
+namespace bench
+{
+namespace
+{
+
+constexpr std::int64_t gib = std::int64_t(1) << 30;
+// Load before the peak and in it, as parts of the processors.
+constexpr double ordinary_load = 0.6;
+constexpr double peak_load = 1.5;
+constexpr double peak_part = 0.5;
+constexpr double urgent_part = 0.03;
+constexpr double gang_part = 0.01;
+constexpr double cancel_part = 0.02;
+
+/// Numbers from one seed, the same on every machine.
+class dice
+{
+public:
+    explicit dice(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    double unit() { return static_cast<double>(this->random()) / 4294967296.0; }
+
+    double exponential(double mean)
+    {
+        return -mean * std::log(1.0 - this->unit());
+    }
+
+    /// Heavy-tailed, at least `least`, cut at `most`.
+    double pareto(double least, double most)
+    {
+        constexpr double shape = 1.3;
+        return std::min(
+            most, least * std::pow(1.0 - this->unit(), -1.0 / shape));
+    }
+
+    std::uint32_t below(std::uint32_t bound) { return this->random(bound); }
+
+private:
+    pcg32 random;
+};
+
+std::int64_t cores_of(trace_profile profile)
+{
+    return profile == trace_profile::strekbod ? 32000 : 64000;
+}
+
+toucanlever::queued_job make_job(
+    dice& random, trace_options const& options, std::size_t index)
+{
+    toucanlever::queued_job job;
+    job.id = "j" + std::to_string(index);
+    // A few customers send most of the work.
+    double skew = random.unit() * random.unit();
+    job.customer = "c" + std::to_string(static_cast<std::uint32_t>(
+                             skew * static_cast<double>(options.customers)));
+    job.name = "work";
+    std::int64_t size = 1 + random.below(8);
+    if (random.unit() < 0.05)
+    {
+        size = 16;
+    }
+    job.need = {size * 1000, (1 + random.below(16)) * gib / 4, 0};
+    job.urgent = random.unit() < urgent_part;
+    if (!job.urgent && random.unit() < gang_part)
+    {
+        job.kind = toucanlever::job_kind::gang;
+        job.tasks = 2 + random.below(6);
+    }
+    return job;
+}
+
+} // namespace
+
+trace make_trace(trace_options const& options)
+{
+    dice random(options.seed);
+    trace made;
+    made.length_us = options.length_us;
+    made.peak_us = static_cast<std::int64_t>(
+        static_cast<double>(options.length_us) * (1.0 - peak_part));
+    std::int64_t cores = cores_of(options.profile);
+    for (std::uint32_t i = 0; i < options.workers; ++i)
+    {
+        made.workers.push_back({cores, 128 * gib, 0});
+    }
+    made.bad_workers = options.workers / 50;
+    for (std::uint32_t c = 0; c < options.customers; ++c)
+    {
+        std::string name = "c" + std::to_string(c);
+        made.ordinary[name] = 1;
+        made.peak[name] = 1 + c % 3;
+    }
+    double capacity =
+        static_cast<double>(cores) * static_cast<double>(options.workers);
+    double now = 0.0;
+    constexpr double mean_run_us = 2'600'000.0;
+    constexpr double mean_cpu = 5000.0;
+    std::size_t index = 0;
+    while (now < static_cast<double>(options.length_us))
+    {
+        bool peak = now >= static_cast<double>(made.peak_us);
+        double load = peak ? peak_load : ordinary_load;
+        double per_us = load * capacity / (mean_cpu * mean_run_us);
+        now += random.exponential(1.0 / per_us);
+        trace_job next;
+        next.job = make_job(random, options, index++);
+        next.job.queued_at_us = static_cast<std::int64_t>(now);
+        next.run_us =
+            static_cast<std::int64_t>(random.pareto(700'000.0, 40'000'000.0));
+        if (next.job.urgent)
+        {
+            next.run_us = std::min<std::int64_t>(next.run_us, 1'000'000);
+        }
+        if (random.unit() < cancel_part)
+        {
+            next.cancel_us = next.job.queued_at_us + 500'000;
+        }
+        made.jobs.push_back(std::move(next));
+    }
+    return made;
+}
+
+} // namespace bench
--- /dev/null
+++ b/include/toucanlever/control/recovery_controller.hpp
@@ -0,0 +1,111 @@
+/// Succession: finds scheduler incarnations that are gone, fences them in the
+/// table service, reads their journals and asks their workers what runs.
+///
+/// Who tries is a guess from heartbeats; who succeeds is decided by the
+/// compare-and-set of the fence row. A job that no worker reports is decided
+/// only when every worker on which the predecessor may have started it has
+/// answered, and thereby refuses the predecessor for good.
+#pragma once
+
+#include "toucanlever/control/job_controller.hpp"
+#include "toucanlever/control/membership_controller.hpp"
+#include "toucanlever/control/takeover.hpp"
+#include "toucanlever/control/worker_registry.hpp"
+#include "toucanlever/platform/table_service.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// What stands in an incarnation's fence row.
+struct fence_record
+{
+    /// active | released | fenced
+    std::string state;
+    std::string address;
+    std::string successor;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    fence_record, state, address, successor)
+
+/// See the head of this file.
+class recovery_controller
+{
+public:
+    recovery_controller(event_loop& loop, scheduler_settings const& settings,
+        std::string incarnation, table_service& table, journal& log,
+        membership_controller& members, worker_registry& workers,
+        job_controller& jobs, std::function<void()> on_fenced);
+    ~recovery_controller();
+
+    /// Starts looking for incarnations to succeed.
+    void begin();
+
+    /// Stops taking over; used before a planned exit.
+    void stop() { this->stopped = true; }
+
+    /// This incarnation and those whose jobs it has taken over.
+    std::vector<std::string> serves() const;
+
+private:
+    using takeover_ptr = std::shared_ptr<takeover>;
+
+    /// What was last seen of an incarnation's sign of life.
+    struct sign_of_life
+    {
+        std::int64_t version = 0;
+        time_point changed{};
+    };
+
+    void scan();
+    void give_sign_of_life();
+    void read_signs_of_life();
+    bool silent_everywhere(std::string const& target) const;
+    bool is_fenced_in(std::vector<table_row> const& rows);
+    void review(std::vector<table_row> const& rows);
+    bool should_try(std::string const& target, fence_record const& record);
+    takeover_ptr open_takeover(std::string const& target);
+    void fence(table_row const& row);
+    void read_chain(takeover_ptr const& work);
+    void retry_later(std::function<void()> step);
+    void read_journals(takeover_ptr const& work);
+    void read_owners(takeover_ptr const& work);
+    void adopt_jobs(takeover_ptr const& work);
+    void fence_worker(takeover_ptr const& work, std::string const& worker);
+    void on_fence_answer(takeover_ptr const& work, std::string const& worker,
+        follow_result const& result);
+    void finish_if_done(takeover_ptr const& work);
+    instance const* listed(std::string const& worker) const;
+
+    event_loop& loop;
+    scheduler_settings const& settings;
+    std::string incarnation;
+    table_service& table;
+    membership_controller& members;
+    clock const& listening;
+    worker_registry& workers;
+    job_controller& jobs;
+    journal_transfer transfer;
+    // Called when this incarnation itself was succeeded.
+    std::function<void()> on_fenced;
+    std::map<std::string, takeover_ptr> takeovers;
+    std::set<std::string> succeeded;
+    // When an incarnation was first found unheard.
+    std::map<std::string, time_point> missed_since;
+    std::map<std::string, sign_of_life> signs;
+    bool own_row_seen = false;
+    bool stopped = false;
+    bool scanning = false;
+    event_loop::timer_id timer = 0;
+    event_loop::timer_id sign_timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/control/scheduler_settings.hpp
@@ -0,0 +1,48 @@
+/// Settings of one scheduler process.
+#pragma once
+
+#include "toucanlever/core/clock.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// Leases and periods that schedulers and workers share.
+struct lease_timing
+{
+    milliseconds heartbeat{500};
+    /// A peer unheard for this long is tried to be succeeded.
+    milliseconds peer_timeout{2500};
+    milliseconds control_lease{3000};
+    milliseconds task_lease{15000};
+    /// Added to a lease before its end is relied on: clock drift.
+    milliseconds lease_margin{500};
+};
+
+/// One scheduler's settings, checked.
+struct scheduler_settings
+{
+    std::string name;
+    std::string domain;
+    std::string address;
+    std::string platform;
+    std::vector<std::string> peers;
+    lease_timing leases;
+    milliseconds platform_timeout{1000};
+    milliseconds worker_timeout{1000};
+    /// Transactions a second that all schedulers together may begin.
+    std::int64_t store_writes_per_s = 300;
+    std::uint32_t max_attempts = 4;
+    std::int64_t max_queued_jobs = 200000;
+    /// Ended jobs can be asked for this long; their journal rows go then.
+    std::chrono::seconds keep_ended{3600};
+    bool log_decisions = true;
+};
+
+/// Reads a settings file; throws a `settings_error`.
+scheduler_settings load_scheduler_settings(std::string const& file);
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/core/enum_names.hpp
@@ -0,0 +1,52 @@
+/// Names of enumerators: each `enum class` that leaves a process as text has
+/// one table, and both directions of the conversion read that table.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace toucanlever
+{
+
+/// One row of a table of names.
+template <typename Enum>
+struct enum_name
+{
+    Enum value;
+    std::string_view name;
+};
+
+/// Specialised for every named enumeration as `static constexpr std::array`.
+template <typename Enum>
+struct enum_table;
+
+/// The name of a value; "?" for a value outside the table.
+template <typename Enum>
+constexpr std::string_view name_of(Enum value)
+{
+    for (auto const& row : enum_table<Enum>::rows)
+    {
+        if (row.value == value)
+        {
+            return row.name;
+        }
+    }
+    return "?";
+}
+
+/// The value that a name stands for, or nothing.
+template <typename Enum>
+constexpr std::optional<Enum> parse_enum(std::string_view name)
+{
+    for (auto const& row : enum_table<Enum>::rows)
+    {
+        if (row.name == name)
+        {
+            return row.value;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/core/event_loop.hpp
@@ -0,0 +1,64 @@
+/// The task that owns a process's sockets and state: an ACE reactor with
+/// timers on the runtime's clock and a queue of messages from other tasks.
+#pragma once
+
+#include "toucanlever/core/clock.hpp"
+
+#include <functional>
+#include <memory>
+
+class ACE_Reactor;
+
+namespace toucanlever
+{
+
+/// One reactor and the thread that runs it. All member functions but `post`
+/// and `stop` belong to that thread.
+class event_loop
+{
+public:
+    using message = std::function<void()>;
+
+    /// Handle of a timer; zero stands for none.
+    using timer_id = long;
+
+    explicit event_loop(clock const& time);
+    ~event_loop();
+    event_loop(event_loop const&) = delete;
+    event_loop& operator=(event_loop const&) = delete;
+
+    /// Handles events until `stop` is called or SIGTERM or SIGINT arrives.
+    void run();
+
+    /// Handles what is ready now and returns; used by tests.
+    void run_ready();
+
+    /// Ends `run`; safe from any thread.
+    void stop();
+
+    /// Queues a message for the loop's thread; safe from any thread.
+    void post(message work);
+
+    /// Calls `work` once, after `delay`.
+    timer_id after(microseconds delay, message work);
+
+    /// Calls `work` every `period` until cancelled.
+    timer_id every(microseconds period, message work);
+
+    void cancel(timer_id timer);
+
+    /// Calls `work` at the first SIGTERM or SIGINT instead of stopping.
+    void on_stop_signal(message work);
+
+    time_point now() const { return this->time.now(); }
+    clock const& time_source() const { return this->time; }
+    ACE_Reactor& reactor();
+
+private:
+    class impl;
+
+    clock const& time;
+    std::unique_ptr<impl> pimpl;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/core/metrics.hpp
@@ -0,0 +1,38 @@
+/// Counters and histograms of one process, printed as Prometheus text.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace toucanlever
+{
+
+/// Named metrics; thread-safe. Histograms are Boost.Histogram's, with
+/// logarithmic bins from 1 to ten million.
+class metrics_registry
+{
+public:
+    metrics_registry();
+    ~metrics_registry();
+
+    void count(std::string_view name, std::int64_t step = 1);
+    void set(std::string_view name, std::int64_t value);
+    void observe(std::string_view name, std::int64_t value);
+
+    /// An upper bound of the given part (0 to 1) of what was observed.
+    double quantile(std::string_view name, double part) const;
+
+    std::string prometheus() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> pimpl;
+};
+
+/// The process's registry.
+metrics_registry& metrics();
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/gateway/gateway_settings.hpp
@@ -0,0 +1,33 @@
+/// Settings of one gateway process.
+#pragma once
+
+#include "toucanlever/http/server.hpp"
+
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// One gateway's settings, checked.
+struct gateway_settings
+{
+    std::string name;
+    std::string domain;
+    std::string http_address;
+    std::vector<std::string> schedulers;
+    http_limits limits;
+    milliseconds heartbeat{500};
+    milliseconds scheduler_timeout{2500};
+    /// How long a submission may wait to become durable.
+    milliseconds submit_timeout{5000};
+    milliseconds connect_timeout{500};
+    /// Retries allowed per hundred requests.
+    std::int64_t retry_percent = 10;
+    bool log_decisions = true;
+};
+
+/// Reads a settings file; throws a `settings_error`.
+gateway_settings load_gateway_settings(std::string const& file);
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/gateway/request_filter.hpp
@@ -0,0 +1,78 @@
+/// The gateway's filter chain. A request passes the filters in order; each
+/// answers it or lets it go on, now or later.
+#pragma once
+
+#include "toucanlever/control/cell_config.hpp"
+#include "toucanlever/core/error.hpp"
+#include "toucanlever/http/server.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// One request on its way through the chain.
+struct request_context
+{
+    http_request request;
+    std::shared_ptr<http_exchange> exchange;
+    time_point arrived{};
+
+    /// Set by the parse filter for /v1/services/{service}/...
+    std::string service;
+    std::string service_path;
+    std::string key;
+
+    /// Set by the authenticate filter.
+    customer_config customer;
+
+    /// Set by the idempotency filter: this request alone may run for its key.
+    bool holds_key = false;
+    std::string claimant;
+    std::int64_t claim_version = 0;
+    std::uint64_t body_hash = 0;
+
+    /// Runs once, when the request is answered.
+    std::vector<std::function<void(http_response const&)>> on_answer;
+    bool answered = false;
+
+    void answer(http_response response);
+    void fail(error const& problem);
+};
+
+using context_ptr = std::shared_ptr<request_context>;
+
+/// One step.
+class request_filter
+{
+public:
+    virtual ~request_filter() = default;
+
+    /// Calls `proceed` or answers. An `error` thrown here is the answer.
+    virtual void apply(
+        context_ptr const& context, std::function<void()> const& proceed) = 0;
+};
+
+/// The filters in their order.
+class filter_chain
+{
+public:
+    void add(std::unique_ptr<request_filter> filter);
+    void run(context_ptr const& context) const;
+
+private:
+    void step(context_ptr const& context, std::size_t index) const;
+
+    std::vector<std::unique_ptr<request_filter>> filters;
+};
+
+/// Header of every error: whether the request ran (no | yes | unknown).
+constexpr char const* ran_header = "X-Toucan-Ran";
+
+/// The JSON answer for an error, with Retry-After where a retry may help.
+http_response error_response(error const& problem);
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/platform/http_platform.hpp
@@ -0,0 +1,40 @@
+/// The platform over HTTP and JSON.
+///
+///     POST /v1/transactions   {"checks":[...],"writes":[...]}
+///                             200 | 409 {"key","value","version"}
+///     GET  /v1/rows?prefix=P&after=K&limit=N   {"rows":[...],"more":bool}
+///     GET  /v1/instances      {"instances":[...]}
+///                             ETag; 304 to If-None-Match while it stands
+#pragma once
+
+#include "toucanlever/http/client.hpp"
+#include "toucanlever/platform/table_service.hpp"
+
+namespace toucanlever
+{
+
+/// Client of the platform's three services at one base address.
+class http_platform final : public table_service, public instance_service
+{
+public:
+    http_platform(
+        http_client& client, std::string const& address, milliseconds timeout);
+
+    void commit(transaction const& work, commit_callback done) override;
+    void scan(std::string const& prefix, rows_callback done) override;
+    void list(list_callback done) override;
+
+private:
+    instance_list take_list(http_result const& result);
+    void scan_page(std::string const& prefix, std::string const& after,
+        std::vector<table_row> found, rows_callback done);
+
+    http_client& client;
+    std::string base;
+    milliseconds timeout;
+    // The last list that came with a tag, and its tag.
+    instance_list last_list;
+    std::string list_tag;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/wire/message_type.hpp
@@ -0,0 +1,68 @@
+/// The kinds of messages on links between the system's own processes.
+#pragma once
+
+#include "toucanlever/core/enum_names.hpp"
+
+#include <cstdint>
+
+namespace toucanlever
+{
+
+/// Values travel on the wire: append only, never renumber.
+enum class message_type : std::uint8_t
+{
+    ping = 1,
+    pong = 2,
+    reply_error = 3,
+    state_request = 4,
+    state_reply = 5,
+    submit = 6,
+    submit_reply = 7,
+    job_query = 8,
+    job_reply = 9,
+    job_cancel = 10,
+    claim = 11,
+    claim_reply = 12,
+    claim_result = 13,
+    ack = 14,
+    permit_request = 15,
+    permit_reply = 16,
+    task_event = 17,
+    stop_task = 18,
+    offer_jobs = 19,
+    offer_reply = 20,
+    operator_query = 21,
+    operator_reply = 22,
+    config_change = 23
+};
+
+template <>
+struct enum_table<message_type>
+{
+    using row = enum_name<message_type>;
+    static constexpr std::array rows{row{message_type::ping, "ping"},
+        row{message_type::pong, "pong"},
+        row{message_type::reply_error, "reply-error"},
+        row{message_type::state_request, "state-request"},
+        row{message_type::state_reply, "state-reply"},
+        row{message_type::submit, "submit"},
+        row{message_type::submit_reply, "submit-reply"},
+        row{message_type::job_query, "job-query"},
+        row{message_type::job_reply, "job-reply"},
+        row{message_type::job_cancel, "job-cancel"},
+        row{message_type::claim, "claim"},
+        row{message_type::claim_reply, "claim-reply"},
+        row{message_type::claim_result, "claim-result"},
+        row{message_type::ack, "ack"},
+        row{message_type::permit_request, "permit-request"},
+        row{message_type::permit_reply, "permit-reply"},
+        row{message_type::task_event, "task-event"},
+        row{message_type::stop_task, "stop-task"},
+        row{message_type::offer_jobs, "offer-jobs"},
+        row{message_type::offer_reply, "offer-reply"},
+        row{message_type::operator_query, "operator-query"},
+        row{message_type::operator_reply, "operator-reply"},
+        row{message_type::config_change, "config-change"}};
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/journal.cpp
@@ -0,0 +1,422 @@
+#include "toucanlever/control/journal.hpp"
+
+#include "toucanlever/core/backoff.hpp"
+#include "toucanlever/core/log.hpp"
+
+#include <cstdio>
+
+namespace toucanlever
+{
+namespace
+{
+
+// Room for the envelope of an entry besides its texts.
+constexpr std::size_t entry_overhead_bytes = 300;
+// Rows that one item deletes, so that a batch stays within what the table
+// service takes in a transaction.
+constexpr std::size_t deletes_per_item = 50;
+// The version of a fence row whose incarnation was never succeeded.
+constexpr std::int64_t first_fence_version = 1;
+
+std::string batch_name(std::uint64_t number)
+{
+    char text[24];
+    std::snprintf(
+        text, sizeof text, "%016llx", static_cast<unsigned long long>(number));
+    return text;
+}
+
+std::size_t size_of(journal_entry const& entry, key_claim const& claim)
+{
+    return entry_overhead_bytes + entry.spec.input.size() +
+           entry.result.size() + entry.checkpoint.size() +
+           claim.record.body.size();
+}
+
+} // namespace
+
+void to_json(nlohmann::json& json, journal_entry const& entry)
+{
+    json = nlohmann::json{{"event", entry.event}};
+    if (entry.event == journal_event::worker_seen)
+    {
+        json["worker"] = entry.worker;
+        json["worker_incarnation"] = entry.worker_incarnation;
+        return;
+    }
+    if (entry.event == journal_event::succeeded)
+    {
+        json["reason"] = entry.reason;
+        return;
+    }
+    json["job_id"] = entry.job_id;
+    json["attempt"] = entry.attempt;
+    if (!entry.checkpoint.empty())
+    {
+        json["checkpoint"] = entry.checkpoint;
+    }
+    if (entry.event == journal_event::moved)
+    {
+        json["reason"] = entry.reason;
+    }
+    if (entry.event == journal_event::accepted)
+    {
+        json["spec"] = entry.spec;
+    }
+    if (entry.event == journal_event::ended)
+    {
+        json["state"] = entry.state;
+        json["worker"] = entry.worker;
+        json["reason"] = entry.reason;
+        json["result"] = entry.result;
+        json["waited_ms"] = entry.waited_ms;
+    }
+}
+
+void from_json(nlohmann::json const& json, journal_entry& entry)
+{
+    entry.event = json.at("event").get<journal_event>();
+    entry.job_id = json.value("job_id", std::string());
+    entry.attempt = json.value("attempt", 0U);
+    entry.worker = json.value("worker", std::string());
+    entry.worker_incarnation = json.value("worker_incarnation", std::string());
+    entry.reason = json.value("reason", std::string());
+    entry.result = json.value("result", std::string());
+    entry.checkpoint = json.value("checkpoint", std::string());
+    entry.waited_ms = json.value("waited_ms", std::int64_t(-1));
+    if (json.contains("spec"))
+    {
+        entry.spec = json["spec"].get<job_spec>();
+    }
+    if (json.contains("state"))
+    {
+        entry.state = json["state"].get<job_state>();
+    }
+}
+
+std::string key_row(std::string const& customer, std::string const& key)
+{
+    return "key/" + customer + "/" + key;
+}
+
+std::string owner_row(std::string const& job_id)
+{
+    return "owner/" + job_id;
+}
+
+std::string journal::row_prefix(std::string const& incarnation)
+{
+    return "journal/" + incarnation + "/";
+}
+
+std::string journal::fence_row(std::string const& incarnation)
+{
+    return fence_prefix + incarnation;
+}
+
+std::string journal::sign_row(std::string const& incarnation)
+{
+    return sign_prefix + incarnation;
+}
+
+journal::journal(event_loop& loop, table_service& table,
+    std::string incarnation, std::int64_t fence_version, journal_tuning tuning,
+    std::function<void()> on_fenced)
+    : loop(loop)
+    , table(table)
+    , incarnation(std::move(incarnation))
+    , fence_version(fence_version)
+    , tuning(tuning)
+    , on_fenced(std::move(on_fenced))
+{
+}
+
+journal::~journal()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void journal::append(journal_entry entry, callback done)
+{
+    this->append_with_key(std::move(entry), {}, std::move(done));
+}
+
+void journal::append_with_key(
+    journal_entry entry, key_claim claim, callback done)
+{
+    item next;
+    next.has_entry = true;
+    next.bytes = size_of(entry, claim);
+    next.entry = std::move(entry);
+    next.claim = std::move(claim);
+    next.done = std::move(done);
+    this->push(std::move(next));
+}
+
+void journal::claim_key(key_claim claim, callback done)
+{
+    item next;
+    next.bytes = size_of({}, claim);
+    next.claim = std::move(claim);
+    next.done = std::move(done);
+    this->push(std::move(next));
+}
+
+void journal::erase(std::vector<std::string> const& rows, callback const& done)
+{
+    for (std::size_t begin = 0; begin < rows.size(); begin += deletes_per_item)
+    {
+        auto end = std::min(rows.size(), begin + deletes_per_item);
+        item next;
+        // Fills a batch: nothing else goes with it.
+        next.bytes = this->tuning.max_batch_bytes;
+        next.deletes.assign(rows.begin() + static_cast<std::ptrdiff_t>(begin),
+            rows.begin() + static_cast<std::ptrdiff_t>(end));
+        bool last = end == rows.size();
+        next.done = last ? done : [](append_result const&) {};
+        this->push(std::move(next));
+    }
+}
+
+std::string journal::row_of(std::uint64_t batch) const
+{
+    return row_prefix(this->incarnation) + batch_name(batch);
+}
+
+void journal::push(item next)
+{
+    if (this->fenced)
+    {
+        return;
+    }
+    this->queue.push_back(std::move(next));
+    this->schedule();
+}
+
+void journal::schedule()
+{
+    if (!this->batch.empty() || this->queue.empty() || this->timer != 0)
+    {
+        return;
+    }
+    auto idle = this->loop.now() - this->last_begin;
+    auto delay =
+        std::max<microseconds>(this->tuning.interval - idle, microseconds(0));
+    this->timer = this->loop.after(delay,
+        [this]
+        {
+            this->timer = 0;
+            this->begin();
+        });
+}
+
+void journal::begin()
+{
+    std::size_t bytes = 0;
+    while (!this->queue.empty() &&
+           this->batch.size() < this->tuning.max_batch_entries)
+    {
+        item const& next = this->queue.front();
+        bytes += next.bytes;
+        bool too_large =
+            !this->batch.empty() && bytes > this->tuning.max_batch_bytes;
+        // Two claims of one key must not meet in one transaction: both would
+        // find the row absent.
+        if (too_large || this->batch_claims(next.claim.row))
+        {
+            break;
+        }
+        this->batch.push_back(std::move(this->queue.front()));
+        this->queue.pop_front();
+    }
+    this->last_begin = this->loop.now();
+    this->attempt();
+}
+
+bool journal::batch_claims(std::string const& row) const
+{
+    return !row.empty() &&
+           std::any_of(this->batch.begin(), this->batch.end(),
+               [&row](item const& each) { return each.claim.row == row; });
+}
+
+transaction journal::build() const
+{
+    transaction work;
+    std::string row = this->row_of(this->next_batch);
+    work.checks.push_back({row, 0});
+    work.checks.push_back({fence_row(this->incarnation), this->fence_version});
+    nlohmann::json entries = nlohmann::json::array();
+    for (item const& each : this->batch)
+    {
+        if (each.has_entry)
+        {
+            entries.push_back(each.entry);
+        }
+        work.deletes.insert(
+            work.deletes.end(), each.deletes.begin(), each.deletes.end());
+        if (!each.claim.row.empty())
+        {
+            if (!each.claim.giver.empty())
+            {
+                work.checks.push_back(
+                    {fence_row(each.claim.giver), first_fence_version});
+            }
+            work.checks.push_back({each.claim.row, each.claim.version});
+            work.writes.push_back(
+                {each.claim.row, nlohmann::json(each.claim.record).dump()});
+        }
+    }
+    work.writes.push_back({row, entries.dump()});
+    return work;
+}
+
+void journal::attempt()
+{
+    auto still_alive = this->alive;
+    this->table.commit(this->build(),
+        [this, still_alive](commit_result const& result)
+        {
+            if (*still_alive)
+            {
+                this->on_result(result);
+            }
+        });
+}
+
+void journal::on_result(commit_result const& result)
+{
+    if (result.outcome == commit_outcome::committed)
+    {
+        this->committed();
+        return;
+    }
+    if (result.outcome == commit_outcome::conflict)
+    {
+        this->failures = 0;
+        this->on_conflict(result.conflict);
+        return;
+    }
+    ++this->failures;
+    log_line("journal-in-doubt")
+        .with("batch", this->next_batch)
+        .with("failures", this->failures);
+    auto delay = backoff_delay(
+        this->failures, this->tuning.retry_min, this->tuning.retry_max);
+    this->timer = this->loop.after(delay,
+        [this]
+        {
+            this->timer = 0;
+            this->attempt();
+        });
+}
+
+void journal::on_conflict(table_row const& row)
+{
+    if (row.key == this->row_of(this->next_batch))
+    {
+        // Only this incarnation writes its batches: an earlier attempt of
+        // this very batch did commit and its answer was lost.
+        this->committed();
+        return;
+    }
+    if (row.key == fence_row(this->incarnation))
+    {
+        this->fenced = true;
+        log_line("fenced").with("incarnation", this->incarnation);
+        this->on_fenced();
+        return;
+    }
+    if (this->refuse_claims_of_giver(row.key))
+    {
+        this->retry_rest();
+        return;
+    }
+    auto taken = std::find_if(this->batch.begin(), this->batch.end(),
+        [&row](item const& each) { return each.claim.row == row.key; });
+    if (taken != this->batch.end())
+    {
+        append_result result;
+        result.outcome = append_outcome::duplicate;
+        result.existing_version = row.version;
+        nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
+        if (value.is_object())
+        {
+            result.existing = value.get<key_record>();
+        }
+        callback done = std::move(taken->done);
+        this->batch.erase(taken);
+        done(result);
+    }
+    this->retry_rest();
+}
+
+/// Tries what is left of the batch after a conflict took a part out.
+void journal::retry_rest()
+{
+    if (this->batch.empty())
+    {
+        this->schedule();
+        return;
+    }
+    this->attempt();
+}
+
+/// True when claims of the batch rested on that row.
+bool journal::refuse_claims_of_giver(std::string const& row)
+{
+    auto first = std::stable_partition(this->batch.begin(), this->batch.end(),
+        [&row](item const& each) {
+            return each.claim.giver.empty() ||
+                   fence_row(each.claim.giver) != row;
+        });
+    std::vector<item> refused(std::make_move_iterator(first),
+        std::make_move_iterator(this->batch.end()));
+    this->batch.erase(first, this->batch.end());
+    for (item& each : refused)
+    {
+        append_result result;
+        result.outcome = append_outcome::giver_fenced;
+        each.done(result);
+    }
+    return !refused.empty();
+}
+
+void journal::committed()
+{
+    this->failures = 0;
+    ++this->next_batch;
+    auto done = std::move(this->batch);
+    this->batch.clear();
+    this->report_batch(done);
+    auto still_alive = this->alive;
+    for (item& each : done)
+    {
+        each.done(append_result{});
+        if (!*still_alive)
+        {
+            return;
+        }
+    }
+    this->schedule();
+}
+
+void journal::report_batch(std::vector<item> const& done) const
+{
+    if (!this->batch_done)
+    {
+        return;
+    }
+    std::vector<journal_entry> entries;
+    for (item const& each : done)
+    {
+        if (each.has_entry)
+        {
+            entries.push_back(each.entry);
+        }
+    }
+    this->batch_done(this->next_batch - 1, entries);
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/journal_cleaner.cpp
@@ -0,0 +1,160 @@
+#include "toucanlever/control/journal_cleaner.hpp"
+
+#include "toucanlever/core/metrics.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds period{1000};
+constexpr std::size_t rows_per_tick = 100;
+// Entries that may stand besides twice what counts.
+constexpr std::size_t slack_entries = 128;
+// Few rows are not worth a transaction.
+constexpr std::size_t slack_rows = 64;
+// Entries of a job that is accepted and ended.
+constexpr std::size_t entries_per_job = 2;
+// Without a backlog at most; cleaning gives way to everything else.
+constexpr std::size_t max_backlog = 32;
+
+std::string subject_of(journal_entry const& entry)
+{
+    return entry.event == journal_event::worker_seen
+               ? "worker " + entry.worker + " " + entry.worker_incarnation
+               : "incarnation " + entry.reason;
+}
+
+bool is_about_a_job(journal_entry const& entry)
+{
+    return entry.event != journal_event::worker_seen &&
+           entry.event != journal_event::succeeded;
+}
+
+} // namespace
+
+journal_cleaner::journal_cleaner(
+    event_loop& loop, journal& log, journal_source const& source)
+    : loop(loop)
+    , log(log)
+    , source(source)
+{
+    log.on_batch(
+        [this](std::uint64_t number, std::vector<journal_entry> const& batch)
+        { this->add(number, batch); });
+    this->timer = loop.every(period, [this] { this->tick(); });
+}
+
+journal_cleaner::~journal_cleaner()
+{
+    *this->alive = false;
+    this->log.on_batch({});
+    this->loop.cancel(this->timer);
+}
+
+void journal_cleaner::add(
+    std::uint64_t number, std::vector<journal_entry> const& batch)
+{
+    indexed_row row;
+    row.number = number;
+    row.entries = batch.size();
+    for (journal_entry const& entry : batch)
+    {
+        if (is_about_a_job(entry))
+        {
+            row.jobs.push_back(entry.job_id);
+        }
+        else
+        {
+            row.others.push_back(entry);
+            this->others.insert(subject_of(entry));
+        }
+    }
+    std::sort(row.jobs.begin(), row.jobs.end());
+    row.jobs.erase(
+        std::unique(row.jobs.begin(), row.jobs.end()), row.jobs.end());
+    this->entries += row.entries;
+    this->newest = number;
+    this->index.push_back(std::move(row));
+}
+
+bool journal_cleaner::worth_cleaning() const
+{
+    std::size_t counts =
+        entries_per_job * this->source.kept() + this->others.size();
+    return this->index.size() > slack_rows &&
+           (this->entries > 2 * counts + slack_entries ||
+               this->index.size() > counts + slack_entries);
+}
+
+void journal_cleaner::tick()
+{
+    if (this->erasing || this->log.store_is_silent() ||
+        this->log.backlog() > max_backlog)
+    {
+        return;
+    }
+    std::vector<std::string> emptied;
+    while (emptied.size() < rows_per_tick && this->worth_cleaning())
+    {
+        indexed_row row = std::move(this->index.front());
+        this->index.pop_front();
+        this->entries -= row.entries;
+        this->clean(row);
+        emptied.push_back(this->log.row_of(row.number));
+    }
+    if (emptied.empty())
+    {
+        return;
+    }
+    this->erasing = true;
+    metrics().count(
+        "journal_rows_deleted", static_cast<std::int64_t>(emptied.size()));
+    auto still_alive = this->alive;
+    this->log.erase(emptied,
+        [this, still_alive](append_result const&)
+        {
+            if (*still_alive)
+            {
+                this->erasing = false;
+            }
+        });
+}
+
+void journal_cleaner::clean(indexed_row const& row)
+{
+    for (std::string const& job : row.jobs)
+    {
+        auto summary = this->source.summary(job);
+        if (summary.empty())
+        {
+            this->covered.erase(job);
+            continue;
+        }
+        this->carry(job, row.number, summary);
+    }
+    for (journal_entry const& entry : row.others)
+    {
+        this->carry(subject_of(entry), row.number, {entry});
+    }
+}
+
+void journal_cleaner::carry(std::string const& subject, std::uint64_t row,
+    std::vector<journal_entry> const& again)
+{
+    auto found = this->covered.find(subject);
+    if (found != this->covered.end() && row <= found->second)
+    {
+        return;
+    }
+    // What is in memory is no older than any row that is durable by now.
+    this->covered[subject] = this->newest;
+    for (journal_entry const& entry : again)
+    {
+        this->log.append(entry, [](append_result const&) {});
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/journal_transfer.cpp
@@ -0,0 +1,130 @@
+#include "toucanlever/control/journal_transfer.hpp"
+
+#include "toucanlever/core/log.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds period{200};
+// Copied at a time, so that new jobs do not wait behind a whole journal.
+constexpr std::size_t jobs_per_tick = 50;
+constexpr std::size_t max_backlog = 32;
+// A fence row stands this long after its journal is gone: one that was paused
+// while it inserted its row must still find it.
+constexpr std::chrono::minutes keep_fence_row{60};
+
+} // namespace
+
+journal_transfer::journal_transfer(
+    event_loop& loop, journal& log, journal_source const& source)
+    : loop(loop)
+    , log(log)
+    , source(source)
+{
+    this->timer = loop.every(period, [this] { this->tick(); });
+}
+
+journal_transfer::~journal_transfer()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void journal_transfer::begin(transfer_request request)
+{
+    for (std::string const& name : request.served)
+    {
+        journal_entry entry;
+        entry.event = journal_event::succeeded;
+        entry.reason = name;
+        request.workers.push_back(std::move(entry));
+    }
+    this->pending.push_back(std::move(request));
+}
+
+void journal_transfer::tick()
+{
+    bool busy = this->erasing || this->log.store_is_silent() ||
+                this->log.backlog() > max_backlog;
+    if (busy)
+    {
+        return;
+    }
+    this->erase_retired();
+    if (this->pending.empty())
+    {
+        return;
+    }
+    transfer_request& request = this->pending.front();
+    if (!request.workers.empty() || !request.jobs.empty())
+    {
+        this->copy_some(request);
+        return;
+    }
+    this->erase(request);
+}
+
+void journal_transfer::copy_some(transfer_request& request)
+{
+    auto ignore = [](append_result const&) {};
+    for (journal_entry& entry : request.workers)
+    {
+        this->log.append(std::move(entry), ignore);
+    }
+    request.workers.clear();
+    for (std::size_t i = 0; i < jobs_per_tick && !request.jobs.empty(); ++i)
+    {
+        for (journal_entry& entry : this->source.summary(request.jobs.back()))
+        {
+            this->log.append(std::move(entry), ignore);
+        }
+        request.jobs.pop_back();
+    }
+}
+
+void journal_transfer::erase(transfer_request const& request)
+{
+    this->erasing = true;
+    auto still_alive = this->alive;
+    auto finish = [this, still_alive](append_result const&)
+    {
+        if (!*still_alive)
+        {
+            return;
+        }
+        this->erasing = false;
+        for (std::string const& name : this->pending.front().fenced)
+        {
+            log_line("journal-transferred").with("incarnation", name);
+            this->retired.push_back(retired_row{name, this->loop.now()});
+        }
+        this->pending.pop_front();
+    };
+    if (request.rows.empty())
+    {
+        finish(append_result{});
+        return;
+    }
+    this->log.erase(request.rows, finish);
+}
+
+void journal_transfer::erase_retired()
+{
+    std::vector<std::string> rows;
+    while (!this->retired.empty() &&
+           this->loop.now() - this->retired.front().at > keep_fence_row)
+    {
+        std::string const& name = this->retired.front().incarnation;
+        rows.push_back(journal::fence_row(name));
+        rows.push_back(journal::sign_row(name));
+        this->retired.pop_front();
+    }
+    if (!rows.empty())
+    {
+        this->log.erase(rows, [](append_result const&) {});
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/placement_controller.cpp
@@ -0,0 +1,225 @@
+#include "toucanlever/control/placement_controller.hpp"
+
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+// Other messages get their turn after this many decisions.
+constexpr int decisions_per_run = 200;
+// Ages are looked at even when nothing else happens.
+constexpr milliseconds idle_period{500};
+// Between two tasks that a suspected worker is tried with.
+constexpr milliseconds probe_interval{1000};
+
+std::int64_t micros(time_point at)
+{
+    return at.time_since_epoch().count();
+}
+
+} // namespace
+
+placement_controller::placement_controller(event_loop& loop,
+    worker_health const& health, configuration_controller& configuration,
+    bool log_decisions)
+    : loop(loop)
+    , health(health)
+    , configuration(configuration)
+    , log_decisions(log_decisions)
+    , policy(make_weighted_share())
+{
+    this->timer = loop.every(idle_period, [this] { this->kick(); });
+}
+
+placement_controller::~placement_controller()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void placement_controller::enqueue(queued_job job)
+{
+    this->policy->enqueue(std::move(job));
+    this->kick();
+}
+
+bool placement_controller::remove(std::string const& job_id)
+{
+    return this->policy->remove(job_id);
+}
+
+void placement_controller::adopted(
+    std::string const& customer, resources const& need)
+{
+    this->policy->started(customer, need);
+}
+
+void placement_controller::ended(
+    std::string const& customer, resources const& need)
+{
+    this->policy->ended(customer, need);
+}
+
+void placement_controller::update(worker_session const& worker)
+{
+    std::string const& id = worker.info().id;
+    auto slot = this->cell.find(id);
+    bool usable = worker.holds_control() && !worker.info().leaving &&
+                  this->may_take_work(worker);
+    if (!usable)
+    {
+        if (slot)
+        {
+            this->policy->forget(*slot);
+            this->cell.remove(*slot);
+        }
+        return;
+    }
+    if (slot)
+    {
+        this->cell.set_free(*slot, worker.free());
+    }
+    else
+    {
+        this->cell.add(id, worker.info().domain, worker.info().rack,
+            worker.capacity(), worker.free());
+    }
+    this->kick();
+}
+
+/// A suspected worker gets one task at a time, and none for a while after it
+/// failed: other workers take what it would fail, and all may be suspected.
+bool placement_controller::may_take_work(worker_session const& worker)
+{
+    std::string const& id = worker.info().id;
+    if (!this->health.is_suspected(id))
+    {
+        this->next_probe.erase(id);
+        return true;
+    }
+    auto next = this->next_probe.find(id);
+    bool due =
+        next == this->next_probe.end() || this->loop.now() >= next->second;
+    return due && !worker.has_tasks();
+}
+
+void placement_controller::delay_probe(std::string const& worker)
+{
+    this->next_probe[worker] = this->loop.now() + probe_interval;
+}
+
+void placement_controller::reconfigure()
+{
+    preset_config const& preset = this->configuration.preset();
+    this->policy->set_weights(preset.entitlements);
+    this->policy->set_place_batch(preset.place_batch);
+    this->policy->set_stop_for_shares(preset.stop_for_shares);
+    this->kick();
+}
+
+void placement_controller::kick()
+{
+    if (this->scheduled || this->policy->size() == 0)
+    {
+        return;
+    }
+    this->scheduled = true;
+    auto still_alive = this->alive;
+    this->loop.post(
+        [this, still_alive]
+        {
+            if (*still_alive)
+            {
+                this->scheduled = false;
+                this->run();
+            }
+        });
+}
+
+void placement_controller::run()
+{
+    for (int i = 0; i < decisions_per_run; ++i)
+    {
+        auto begin = this->loop.now();
+        auto decision = this->policy->next(this->cell, micros(begin));
+        if (!decision)
+        {
+            this->make_room();
+            return;
+        }
+        auto spent = this->loop.now() - begin;
+        metrics().observe("placement_decision_us", spent.count());
+        std::vector<std::string> chosen;
+        for (worker_slot slot : decision->slots)
+        {
+            chosen.push_back(this->cell.at(slot).id);
+        }
+        for (std::size_t task = 0; task < decision->slots.size(); ++task)
+        {
+            this->policy->started(decision->job.customer, decision->job.need);
+        }
+        if (this->log_decisions)
+        {
+            this->log(*decision, spent.count());
+        }
+        this->place(*decision, chosen);
+    }
+    this->kick();
+}
+
+void placement_controller::make_room()
+{
+    // Ends: the policy sets workers aside for each answer, and only so many.
+    for (;;)
+    {
+        auto victims =
+            this->policy->preempt(this->cell, micros(this->loop.now()));
+        if (victims.empty())
+        {
+            return;
+        }
+        for (std::string const& job : victims)
+        {
+            log_line("preemption").with("job", job);
+            metrics().count("preemptions");
+            this->stop(job);
+        }
+    }
+}
+
+void placement_controller::track(job_record const& job)
+{
+    auto slot = this->cell.find(job.worker);
+    if (slot)
+    {
+        this->policy->track(running_job{job.id, job.spec.customer,
+                                job.spec.need, micros(this->loop.now())},
+            *slot);
+    }
+}
+
+void placement_controller::untrack(std::string const& job_id)
+{
+    this->policy->untrack(job_id);
+}
+
+void placement_controller::log(
+    placement_decision const& decision, std::int64_t spent_us) const
+{
+    view_worker const& first = this->cell.at(decision.slots.front());
+    log_line("placement")
+        .with("job", decision.job.id)
+        .with("customer", decision.job.customer)
+        .with("kind", name_of(decision.job.kind))
+        .with("worker", first.id)
+        .with("rack", first.rack)
+        .with("tasks", decision.slots.size())
+        .with("examined", decision.examined)
+        .with("reason", decision.reason)
+        .with("spent_us", spent_us);
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/recovery_controller.cpp
@@ -0,0 +1,509 @@
+#include "toucanlever/control/recovery_controller.hpp"
+
+#include "toucanlever/core/ids.hpp"
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds scan_period{1000};
+constexpr milliseconds retry_read{300};
+constexpr milliseconds retry_fence{500};
+constexpr milliseconds sign_period{4000};
+constexpr milliseconds sign_silence{14000};
+
+fence_record read_record(table_row const& row)
+{
+    nlohmann::json json = nlohmann::json::parse(row.value, nullptr, false);
+    return json.is_object() ? json.get<fence_record>() : fence_record{};
+}
+
+std::string incarnation_of_row(table_row const& row)
+{
+    return row.key.substr(std::string(journal::fence_prefix).size());
+}
+
+std::vector<std::string> chain_of(
+    std::string const& target, std::vector<table_row> const& rows)
+{
+    std::vector<std::string> chain{target};
+    for (std::size_t i = 0; i < chain.size(); ++i)
+    {
+        for (table_row const& row : rows)
+        {
+            std::string name = incarnation_of_row(row);
+            bool succeeded_by = read_record(row).successor == chain[i];
+            bool known =
+                std::find(chain.begin(), chain.end(), name) != chain.end();
+            if (succeeded_by && !known)
+            {
+                chain.push_back(name);
+            }
+        }
+    }
+    return chain;
+}
+
+} // namespace
+
+recovery_controller::recovery_controller(event_loop& loop,
+    scheduler_settings const& settings, std::string incarnation,
+    table_service& table, journal& log, membership_controller& members,
+    worker_registry& workers, job_controller& jobs,
+    std::function<void()> on_fenced)
+    : loop(loop)
+    , settings(settings)
+    , incarnation(std::move(incarnation))
+    , table(table)
+    , members(members)
+    , listening(members.listening_time())
+    , workers(workers)
+    , jobs(jobs)
+    , transfer(loop, log, jobs.records())
+    , on_fenced(std::move(on_fenced))
+{
+}
+
+recovery_controller::~recovery_controller()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+    this->loop.cancel(this->sign_timer);
+}
+
+void recovery_controller::begin()
+{
+    this->timer = this->loop.every(scan_period, [this] { this->scan(); });
+    this->sign_timer = this->loop.every(sign_period,
+        [this]
+        {
+            this->give_sign_of_life();
+            this->read_signs_of_life();
+        });
+    this->give_sign_of_life();
+    this->scan();
+}
+
+std::vector<std::string> recovery_controller::serves() const
+{
+    std::vector<std::string> list{this->incarnation};
+    list.insert(list.end(), this->succeeded.begin(), this->succeeded.end());
+    return list;
+}
+
+void recovery_controller::scan()
+{
+    if (this->scanning || this->stopped)
+    {
+        return;
+    }
+    this->scanning = true;
+    auto still_alive = this->alive;
+    this->table.scan(journal::fence_prefix,
+        [this, still_alive](std::optional<std::vector<table_row>> const& rows)
+        {
+            if (!*still_alive)
+            {
+                return;
+            }
+            this->scanning = false;
+            if (rows && !this->stopped)
+            {
+                this->review(*rows);
+            }
+        });
+}
+
+void recovery_controller::give_sign_of_life()
+{
+    transaction work;
+    work.writes.push_back({journal::sign_row(this->incarnation), "{}"});
+    this->table.commit(work, [](commit_result const&) {});
+}
+
+void recovery_controller::read_signs_of_life()
+{
+    auto still_alive = this->alive;
+    this->table.scan(journal::sign_prefix,
+        [this, still_alive](std::optional<std::vector<table_row>> const& rows)
+        {
+            if (!*still_alive || !rows)
+            {
+                return;
+            }
+            for (table_row const& row : *rows)
+            {
+                std::string name =
+                    row.key.substr(std::string(journal::sign_prefix).size());
+                sign_of_life& seen = this->signs[name];
+                if (seen.version != row.version)
+                {
+                    seen = sign_of_life{row.version, this->listening.now()};
+                }
+            }
+        });
+}
+
+/// True when an incarnation of another domain gives no sign in the table
+/// service either: one that is only cut off from here goes on giving them.
+bool recovery_controller::silent_everywhere(std::string const& target) const
+{
+    auto seen = this->signs.find(target);
+    return seen != this->signs.end() &&
+           this->listening.now() - seen->second.changed > sign_silence;
+}
+
+void recovery_controller::review(std::vector<table_row> const& rows)
+{
+    // One with nothing to write would not learn it from its journal.
+    if (this->is_fenced_in(rows))
+    {
+        this->stop();
+        this->on_fenced();
+        return;
+    }
+    for (table_row const& row : rows)
+    {
+        std::string target = incarnation_of_row(row);
+        fence_record record = read_record(row);
+        bool open = record.state == "active" || record.state == "released";
+        bool other =
+            target != this->incarnation && this->takeovers.count(target) == 0;
+        if (open && other && this->should_try(target, record))
+        {
+            this->fence(row);
+        }
+        // The answer to our own fencing was lost.
+        bool unread = record.state == "fenced" &&
+                      record.successor == this->incarnation &&
+                      this->succeeded.count(target) == 0;
+        if (unread && other)
+        {
+            this->read_chain(this->open_takeover(target));
+        }
+    }
+}
+
+/// Fenced, or so long ago that the row is gone.
+bool recovery_controller::is_fenced_in(std::vector<table_row> const& rows)
+{
+    auto own = std::find_if(rows.begin(), rows.end(),
+        [this](table_row const& row)
+        { return incarnation_of_row(row) == this->incarnation; });
+    if (own == rows.end())
+    {
+        return this->own_row_seen;
+    }
+    this->own_row_seen = true;
+    return read_record(*own).state == "fenced";
+}
+
+bool recovery_controller::should_try(
+    std::string const& target, fence_record const& record)
+{
+    bool earlier_self =
+        domain_of_incarnation(target) == this->settings.domain &&
+        name_of_incarnation(target) == this->settings.name;
+    if (earlier_self)
+    {
+        return true;
+    }
+    if (record.state != "released")
+    {
+        if (this->members.is_live(target))
+        {
+            this->missed_since.erase(target);
+            return false;
+        }
+        auto first =
+            this->missed_since.try_emplace(target, this->listening.now()).first;
+        if (this->listening.now() - first->second <
+            this->settings.leases.peer_timeout)
+        {
+            return false;
+        }
+    }
+    auto candidates = this->members.live(domain_of_incarnation(target));
+    if (candidates.empty())
+    {
+        if (record.state != "released" && !this->silent_everywhere(target))
+        {
+            return false;
+        }
+        candidates = this->members.live("");
+    }
+    std::vector<std::string> names;
+    for (scheduler_state const& state : candidates)
+    {
+        names.push_back(state.incarnation);
+    }
+    return rendezvous_pick(target, names) == this->incarnation;
+}
+
+recovery_controller::takeover_ptr recovery_controller::open_takeover(
+    std::string const& target)
+{
+    auto work = std::make_shared<takeover>();
+    work->incarnation = target;
+    work->began = this->loop.now();
+    this->takeovers.emplace(target, work);
+    return work;
+}
+
+void recovery_controller::fence(table_row const& row)
+{
+    auto work = this->open_takeover(incarnation_of_row(row));
+    fence_record record = read_record(row);
+    record.state = "fenced";
+    record.successor = this->incarnation;
+    transaction change;
+    change.checks.push_back({row.key, row.version});
+    change.checks.push_back({journal::fence_row(this->incarnation), 1});
+    change.writes.push_back({row.key, nlohmann::json(record).dump()});
+    auto still_alive = this->alive;
+    this->table.commit(change,
+        [this, still_alive, work](commit_result const& result)
+        {
+            if (!*still_alive)
+            {
+                return;
+            }
+            fence_record now = read_record(result.conflict);
+            bool ours = result.outcome == commit_outcome::committed ||
+                        (result.outcome == commit_outcome::conflict &&
+                            now.successor == this->incarnation);
+            if (!ours)
+            {
+                // In doubt or lost: the next scan shows which.
+                this->takeovers.erase(work->incarnation);
+                return;
+            }
+            log_line("takeover-fenced").with("incarnation", work->incarnation);
+            this->read_chain(work);
+        });
+}
+
+/// Only now that it is fenced can the incarnation succeed nobody any more.
+void recovery_controller::read_chain(takeover_ptr const& work)
+{
+    auto still_alive = this->alive;
+    this->table.scan(journal::fence_prefix,
+        [this, still_alive, work](
+            std::optional<std::vector<table_row>> const& rows)
+        {
+            if (!*still_alive)
+            {
+                return;
+            }
+            if (!rows)
+            {
+                this->retry_later([this, work] { this->read_chain(work); });
+                return;
+            }
+            work->chain = chain_of(work->incarnation, *rows);
+            this->read_journals(work);
+        });
+}
+
+void recovery_controller::retry_later(std::function<void()> step)
+{
+    auto still_alive = this->alive;
+    this->loop.after(retry_read,
+        [still_alive, step = std::move(step)]
+        {
+            if (*still_alive)
+            {
+                step();
+            }
+        });
+}
+
+void recovery_controller::read_journals(takeover_ptr const& work)
+{
+    if (work->journals_read == work->chain.size())
+    {
+        this->read_owners(work);
+        return;
+    }
+    // The oldest incarnation of the chain comes last and is read first.
+    std::string source =
+        work->chain[work->chain.size() - 1 - work->journals_read];
+    auto still_alive = this->alive;
+    this->table.scan(journal::row_prefix(source),
+        [this, still_alive, work](
+            std::optional<std::vector<table_row>> const& rows)
+        {
+            if (!*still_alive)
+            {
+                return;
+            }
+            if (!rows)
+            {
+                this->retry_later([this, work] { this->read_journals(work); });
+                return;
+            }
+            for (table_row const& row : *rows)
+            {
+                work->read(row);
+            }
+            ++work->journals_read;
+            this->read_journals(work);
+        });
+}
+
+void recovery_controller::read_owners(takeover_ptr const& work)
+{
+    work->served.insert(work->chain.begin(), work->chain.end());
+    auto acceptors = work->acceptors();
+    auto next = acceptors.upper_bound(work->owners_read);
+    if (next == acceptors.end())
+    {
+        this->adopt_jobs(work);
+        return;
+    }
+    std::string acceptor = *next;
+    auto still_alive = this->alive;
+    this->table.scan(owner_row(acceptor + "."),
+        [this, still_alive, work, acceptor](
+            std::optional<std::vector<table_row>> const& rows)
+        {
+            if (!*still_alive)
+            {
+                return;
+            }
+            if (rows)
+            {
+                work->owners_read = acceptor;
+                for (table_row const& row : *rows)
+                {
+                    work->read_owner(row);
+                }
+                this->read_owners(work);
+                return;
+            }
+            this->retry_later([this, work] { this->read_owners(work); });
+        });
+}
+
+void recovery_controller::adopt_jobs(takeover_ptr const& work)
+{
+    auto served_before = this->succeeded;
+    served_before.insert(this->incarnation);
+    for (auto const& entry : work->jobs)
+    {
+        if (this->jobs.adopt(entry.second, served_before))
+        {
+            work->to_decide.insert(entry.first);
+        }
+    }
+    this->succeeded.insert(work->served.begin(), work->served.end());
+    log_line("takeover-read")
+        .with("incarnation", work->incarnation)
+        .with("chain", work->chain.size())
+        .with("jobs", work->jobs.size())
+        .with("workers", work->workers.size());
+    for (auto const& entry : work->workers)
+    {
+        work->unfenced.insert(entry.first);
+        work->certain = work->certain && entry.second.size() == 1;
+    }
+    auto waiting = work->unfenced;
+    for (std::string const& worker : waiting)
+    {
+        this->fence_worker(work, worker);
+    }
+    this->finish_if_done(work);
+}
+
+instance const* recovery_controller::listed(std::string const& worker) const
+{
+    for (instance const& each : this->members.instances())
+    {
+        if (each.id == worker && each.role == instance_role::worker)
+        {
+            return &each;
+        }
+    }
+    return nullptr;
+}
+
+void recovery_controller::fence_worker(
+    takeover_ptr const& work, std::string const& worker)
+{
+    instance const* info = this->listed(worker);
+    if (info == nullptr)
+    {
+        // The platform has taken the instance away.
+        work->certain = false;
+        work->unfenced.erase(worker);
+        this->finish_if_done(work);
+        return;
+    }
+    auto still_alive = this->alive;
+    this->workers.calls().fence(info->address, work->chain, this->incarnation,
+        [this, still_alive, work, worker](follow_result const& result)
+        {
+            if (*still_alive)
+            {
+                this->on_fence_answer(work, worker, result);
+            }
+        });
+}
+
+void recovery_controller::on_fence_answer(takeover_ptr const& work,
+    std::string const& worker, follow_result const& result)
+{
+    instance const* info = this->listed(worker);
+    if (result.answer != worker_answer::accepted || info == nullptr)
+    {
+        auto still_alive = this->alive;
+        this->loop.after(retry_fence,
+            [this, still_alive, work, worker]
+            {
+                if (*still_alive)
+                {
+                    this->fence_worker(work, worker);
+                }
+            });
+        return;
+    }
+    work->fenced(worker, result);
+    worker_session& session = this->workers.open(*info);
+    for (task_report const& report : result.tasks)
+    {
+        if (this->jobs.adopt_record(report))
+        {
+            work->jobs[report.job_id].id = report.job_id;
+            work->to_decide.insert(report.job_id);
+        }
+        this->jobs.adopt_task(session, report);
+    }
+    this->finish_if_done(work);
+}
+
+void recovery_controller::finish_if_done(takeover_ptr const& work)
+{
+    if (!work->unfenced.empty() ||
+        this->takeovers.count(work->incarnation) == 0)
+    {
+        return;
+    }
+    this->takeovers.erase(work->incarnation);
+    auto took = std::chrono::duration_cast<milliseconds>(
+        this->loop.now() - work->began);
+    metrics().observe("takeover_ms", took.count());
+    log_line("takeover-done")
+        .with("incarnation", work->incarnation)
+        .with("jobs", work->jobs.size())
+        .with("certain", work->certain ? "yes" : "no")
+        .with("took_ms", took.count());
+    this->jobs.release(work->to_decide, work->certain);
+    this->transfer.begin(work->to_transfer());
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/control/worker_health.cpp
@@ -0,0 +1,40 @@
+#include "toucanlever/control/worker_health.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+
+bool worker_health::failed(std::string const& worker, std::string const& job_id)
+{
+    std::set<std::string>& jobs = this->streaks[worker];
+    if (jobs.size() < suspect_after)
+    {
+        jobs.insert(job_id);
+    }
+    return jobs.size() < suspect_after;
+}
+
+bool worker_health::succeeded(std::string const& worker)
+{
+    bool suspected = this->is_suspected(worker);
+    this->streaks.erase(worker);
+    return suspected;
+}
+
+bool worker_health::is_suspected(std::string const& worker) const
+{
+    auto found = this->streaks.find(worker);
+    return found != this->streaks.end() &&
+           found->second.size() >= suspect_after;
+}
+
+std::size_t worker_health::suspected_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->streaks.begin(), this->streaks.end(),
+            [](auto const& entry)
+            { return entry.second.size() >= suspect_after; }));
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/core/event_loop.cpp
@@ -0,0 +1,258 @@
+#include "toucanlever/core/event_loop.hpp"
+
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Reactor.h>
+#include <ace/Recursive_Thread_Mutex.h>
+#include <ace/Signal.h>
+#include <ace/Thread.h>
+#include <ace/Time_Policy.h>
+#include <ace/Timer_Heap_T.h>
+#include <atomic>
+#include <deque>
+#include <mutex>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr std::size_t max_handles = 16384;
+
+/// Lets ACE's timer queue read the runtime's clock.
+class ace_time_policy final : public ACE_Dynamic_Time_Policy_Base
+{
+public:
+    explicit ace_time_policy(clock const& time)
+        : time(time)
+    {
+    }
+
+protected:
+    ACE_Time_Value_T<ACE_Delegating_Time_Policy> gettimeofday() const override
+    {
+        auto since = this->time.now().time_since_epoch().count();
+        ACE_Time_Value_T<ACE_Delegating_Time_Policy> value;
+        value.set(static_cast<time_t>(since / 1000000),
+            static_cast<suseconds_t>(since % 1000000));
+        return value;
+    }
+
+private:
+    clock const& time;
+};
+
+using timer_heap = ACE_Timer_Heap_T<ACE_Event_Handler*,
+    ACE_Event_Handler_Handle_Timeout_Upcall, ACE_SYNCH_RECURSIVE_MUTEX,
+    ACE_Delegating_Time_Policy>;
+
+/// Runs one closure when its timer expires.
+class timer_handler final : public ACE_Event_Handler
+{
+public:
+    timer_handler(event_loop::message work, bool repeats)
+        : ACE_Event_Handler(nullptr)
+        , work(std::move(work))
+        , repeats(repeats)
+    {
+        this->reference_counting_policy().value(
+            ACE_Event_Handler::Reference_Counting_Policy::ENABLED);
+    }
+
+    int handle_timeout(ACE_Time_Value const&, void const*) override
+    {
+        if (this->repeats)
+        {
+            this->work();
+            return 0;
+        }
+        event_loop::message once = std::move(this->work);
+        once();
+        return 0;
+    }
+
+private:
+    event_loop::message work;
+    bool repeats;
+};
+
+ACE_Time_Value to_ace(microseconds span)
+{
+    auto count = std::max<std::int64_t>(span.count(), 0);
+    return ACE_Time_Value(static_cast<time_t>(count / 1000000),
+        static_cast<suseconds_t>(count % 1000000));
+}
+
+} // namespace
+
+/// The reactor, the queue of messages and the signal handler.
+class event_loop::impl final : public ACE_Event_Handler
+{
+public:
+    explicit impl(clock const& time)
+        : policy(time)
+        , timers(new timer_heap())
+        , reactor(new ACE_Dev_Poll_Reactor(max_handles, true), true)
+    {
+        this->timers->set_time_policy(
+            ACE_Delegating_Time_Policy(&this->policy));
+        this->reactor.timer_queue(this->timers.get());
+        this->ACE_Event_Handler::reactor(&this->reactor);
+        ACE_Sig_Action ignore_pipe(
+            reinterpret_cast<ACE_SignalHandler>(SIG_IGN));
+        ignore_pipe.register_action(SIGPIPE);
+    }
+
+    ~impl() override
+    {
+        this->reactor.timer_queue(nullptr);
+        this->reactor.close();
+    }
+
+    void post(message work)
+    {
+        bool was_empty = false;
+        {
+            std::lock_guard lock(this->mutex);
+            was_empty = this->messages.empty();
+            this->messages.push_back(std::move(work));
+        }
+        if (was_empty)
+        {
+            this->reactor.notify(this, ACE_Event_Handler::EXCEPT_MASK);
+        }
+    }
+
+    /// Called by the reactor when `post` has queued a first message.
+    int handle_exception(ACE_HANDLE) override
+    {
+        std::deque<message> batch;
+        {
+            std::lock_guard lock(this->mutex);
+            batch.swap(this->messages);
+        }
+        for (message& work : batch)
+        {
+            work();
+        }
+        return 0;
+    }
+
+    int handle_signal(int, siginfo_t*, ucontext_t*) override
+    {
+        this->signalled = true;
+        return 0;
+    }
+
+    void handle_stop_signal()
+    {
+        if (!this->signalled.exchange(false))
+        {
+            return;
+        }
+        if (this->stop_work)
+        {
+            message work = std::move(this->stop_work);
+            this->stop_work = nullptr;
+            work();
+            return;
+        }
+        this->stopping = true;
+    }
+
+    ace_time_policy policy;
+    std::unique_ptr<timer_heap> timers;
+    ACE_Reactor reactor;
+    std::mutex mutex;
+    std::deque<message> messages;
+    message stop_work;
+    std::atomic<bool> signalled = false;
+    std::atomic<bool> stopping = false;
+};
+
+event_loop::event_loop(clock const& time)
+    : time(time)
+    , pimpl(std::make_unique<impl>(time))
+{
+}
+
+event_loop::~event_loop() = default;
+
+void event_loop::run()
+{
+    this->pimpl->reactor.owner(ACE_Thread::self());
+    ACE_Sig_Set signals;
+    signals.sig_add(SIGTERM);
+    signals.sig_add(SIGINT);
+    this->pimpl->reactor.register_handler(signals, this->pimpl.get());
+    while (!this->pimpl->stopping)
+    {
+        ACE_Time_Value slice(0, 200000);
+        this->pimpl->reactor.handle_events(slice);
+        this->pimpl->handle_stop_signal();
+    }
+}
+
+void event_loop::run_ready()
+{
+    // Many: on a busy machine a round may end before it finds what is due.
+    constexpr int rounds = 32;
+    this->pimpl->reactor.owner(ACE_Thread::self());
+    for (int i = 0; i < rounds; ++i)
+    {
+        // With no time at all the reactor would look at sockets only.
+        ACE_Time_Value least(0, 1);
+        this->pimpl->reactor.handle_events(least);
+    }
+}
+
+void event_loop::stop()
+{
+    this->pimpl->stopping = true;
+    this->post([] {});
+}
+
+void event_loop::post(message work)
+{
+    this->pimpl->post(std::move(work));
+}
+
+event_loop::timer_id event_loop::after(microseconds delay, message work)
+{
+    auto* handler = new timer_handler(std::move(work), false);
+    ACE_Event_Handler_var guard(handler);
+    // ACE numbers timers from zero, which stands for none here.
+    return this->pimpl->reactor.schedule_timer(
+               handler, nullptr, to_ace(delay)) +
+           1;
+}
+
+event_loop::timer_id event_loop::every(microseconds period, message work)
+{
+    auto* handler = new timer_handler(std::move(work), true);
+    ACE_Event_Handler_var guard(handler);
+    return this->pimpl->reactor.schedule_timer(
+               handler, nullptr, to_ace(period), to_ace(period)) +
+           1;
+}
+
+void event_loop::cancel(timer_id timer)
+{
+    if (timer > 0)
+    {
+        this->pimpl->reactor.cancel_timer(timer - 1);
+    }
+}
+
+void event_loop::on_stop_signal(message work)
+{
+    this->pimpl->stop_work = std::move(work);
+}
+
+ACE_Reactor& event_loop::reactor()
+{
+    return this->pimpl->reactor;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/gateway/permit_holder.cpp
@@ -0,0 +1,134 @@
+#include "toucanlever/gateway/permit_holder.hpp"
+
+#include "toucanlever/control/permit_controller.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds renew_period{1000};
+constexpr milliseconds ask_again_after{100};
+constexpr milliseconds idle_after{3000};
+constexpr milliseconds ask_timeout{1000};
+constexpr milliseconds holder_margin{200};
+
+} // namespace
+
+permit_holder::permit_holder(
+    event_loop& loop, scheduler_pool& schedulers, std::string gateway)
+    : loop(loop)
+    , schedulers(schedulers)
+    , gateway(std::move(gateway))
+{
+    this->timer = loop.every(renew_period, [this] { this->renew(); });
+}
+
+permit_holder::~permit_holder()
+{
+    this->loop.cancel(this->timer);
+}
+
+std::uint32_t permit_holder::available(
+    std::string const& runner, milliseconds span) const
+{
+    auto found = this->holdings.find(runner);
+    if (found == this->holdings.end())
+    {
+        return 0;
+    }
+    holding const& own = found->second;
+    bool lasts = this->loop.now() + span + holder_margin < own.until;
+    return lasts && own.held > own.used ? own.held - own.used : 0;
+}
+
+std::uint32_t permit_holder::in_use(std::string const& runner) const
+{
+    auto found = this->holdings.find(runner);
+    return found == this->holdings.end() ? 0 : found->second.used;
+}
+
+void permit_holder::use(std::string const& runner)
+{
+    holding& own = this->holdings.at(runner);
+    ++own.used;
+    own.last_used = this->loop.now();
+}
+
+void permit_holder::put_back(std::string const& runner)
+{
+    holding& own = this->holdings.at(runner);
+    --own.used;
+    own.last_used = this->loop.now();
+}
+
+void permit_holder::want(instance const& runner, std::uint32_t wanted)
+{
+    holding& own = this->holdings[runner.id];
+    own.runner = runner;
+    if (!own.asking && this->loop.now() >= own.next_ask)
+    {
+        bool lapsed = this->loop.now() >= own.until;
+        this->ask(own, lapsed ? own.used : own.held, wanted);
+    }
+}
+
+void permit_holder::renew()
+{
+    auto now = this->loop.now();
+    for (auto& entry : this->holdings)
+    {
+        holding& own = entry.second;
+        bool idle = now - own.last_used > idle_after;
+        std::uint32_t keep = idle ? own.used : own.held;
+        bool changed = keep != own.held;
+        if (!own.asking && own.held > 0 && now < own.until)
+        {
+            // What is given back is not used while the answer is on its way.
+            own.held = changed ? keep : own.held;
+            this->ask(own, keep, 0);
+        }
+    }
+}
+
+void permit_holder::ask(holding& from, std::uint32_t keep, std::uint32_t wanted)
+{
+    auto sent = this->loop.now();
+    from.next_ask = sent + ask_again_after;
+    std::string grantor = permit_grantor(
+        from.runner.id, this->schedulers.live(from.runner.domain));
+    rpc_client* scheduler = this->schedulers.find(grantor);
+    if (scheduler == nullptr)
+    {
+        return;
+    }
+    from.asking = true;
+    permit_request request{this->gateway, from.runner.id, keep, wanted};
+    std::string runner = from.runner.id;
+    scheduler->request(message_type::permit_request, pack(request), ask_timeout,
+        [this, runner, sent](rpc_result const& result)
+        {
+            holding& own = this->holdings.at(runner);
+            own.asking = false;
+            try
+            {
+                auto reply =
+                    result.as<permit_reply>(message_type::permit_reply, runner);
+                own.held = reply.granted;
+                own.until = sent + milliseconds(reply.lease_ms);
+            }
+            catch (error const&)
+            {
+                // What is held lapses by itself.
+                return;
+            }
+            if (this->granted)
+            {
+                this->granted();
+            }
+        });
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/gateway/runner_router.cpp
@@ -0,0 +1,353 @@
+#include "gateway/runner_router.hpp"
+
+#include "toucanlever/core/ids.hpp"
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds pump_period{50};
+constexpr milliseconds avoid_for{1000};
+constexpr milliseconds away_after{300};
+constexpr std::uint32_t permits_per_ask = 2;
+constexpr std::size_t runners_per_ask = 4;
+constexpr std::size_t max_waiting = 10000;
+
+error not_run(error_code code, std::string const& message)
+{
+    return error(code, message, "route", {}, run_state::no);
+}
+
+bool forwarded(std::string const& name)
+{
+    static std::set<std::string> const dropped{"host", "connection",
+        "content-length", "transfer-encoding", "authorization", "expect",
+        "keep-alive", "upgrade", "te", "trailer", "x-customer", "x-request-id",
+        "x-deadline-ms"};
+    std::string lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return dropped.count(lower) == 0;
+}
+
+} // namespace
+
+runner_router::runner_router(event_loop& loop, http_client& client,
+    scheduler_pool& schedulers, gateway_settings const& settings)
+    : loop(loop)
+    , client(client)
+    , schedulers(schedulers)
+    , settings(settings)
+    , permits(loop, schedulers, settings.name + "." + random_token())
+    , budget(settings.retry_percent)
+    , random(std::random_device{}())
+{
+    this->permits.on_granted([this] { this->pump(); });
+    this->timer = loop.every(pump_period, [this] { this->pump(); });
+}
+
+runner_router::~runner_router()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void runner_router::apply(
+    context_ptr const& context, std::function<void()> const& proceed)
+{
+    if (context->service.empty())
+    {
+        proceed();
+        return;
+    }
+    service_config const& service =
+        this->schedulers.config().find_service(context->service, "route");
+    auto request = std::make_shared<routed>();
+    request->context = context;
+    request->service = service;
+    request->give_up = this->loop.now() + milliseconds(service.timeout_ms);
+    request->request_id =
+        this->settings.name + "." + random_token() + random_token();
+    this->budget.on_request();
+    if (this->try_send(request))
+    {
+        return;
+    }
+    auto& queue = this->waiting[context->service];
+    if (queue.size() >= max_waiting)
+    {
+        throw not_run(error_code::limited, "too many requests wait");
+    }
+    queue.push_back(request);
+}
+
+bool runner_router::is_down(std::string const& runner) const
+{
+    auto found = this->down_until.find(runner);
+    return found != this->down_until.end() && this->loop.now() < found->second;
+}
+
+std::vector<instance const*> runner_router::candidates(
+    routed const& request, bool at_home) const
+{
+    std::vector<instance const*> list;
+    for (instance const& each : this->schedulers.endpoints())
+    {
+        bool fits = each.role == instance_role::runner && !each.leaving &&
+                    each.service == request.service.name &&
+                    (each.domain == this->settings.domain) == at_home &&
+                    request.tried.count(each.id) == 0 &&
+                    !this->is_down(each.id);
+        // A domain whose schedulers are silent may be cut off.
+        bool reachable = at_home || !this->schedulers.live(each.domain).empty();
+        if (fits && reachable)
+        {
+            list.push_back(&each);
+        }
+    }
+    return list;
+}
+
+instance const* runner_router::choose(
+    std::vector<instance const*> const& from, milliseconds span)
+{
+    std::vector<instance const*> usable;
+    for (instance const* each : from)
+    {
+        if (this->permits.available(each->id, span) > 0)
+        {
+            usable.push_back(each);
+        }
+    }
+    if (usable.empty())
+    {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, usable.size() - 1);
+    instance const* first = usable[any(this->random)];
+    instance const* second = usable[any(this->random)];
+    return this->permits.in_use(first->id) <= this->permits.in_use(second->id)
+               ? first
+               : second;
+}
+
+void runner_router::ask_for_permits(std::vector<instance const*> const& from)
+{
+    if (from.empty())
+    {
+        return;
+    }
+    std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+    std::size_t start = any(this->random);
+    std::size_t count = std::min(runners_per_ask, from.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        this->permits.want(*from[(start + i) % from.size()], permits_per_ask);
+    }
+}
+
+bool runner_router::try_send(routed_ptr const& request)
+{
+    auto home = this->candidates(*request, true);
+    if (this->try_send_to(request, home))
+    {
+        return true;
+    }
+    // Another domain's runners only when the own ones have no room for some
+    // time: what is sent across a cut is lost without a word.
+    auto waited = this->loop.now() - request->context->arrived;
+    this->ask_for_permits(home);
+    if (!home.empty() && waited < away_after)
+    {
+        return false;
+    }
+    auto away = this->candidates(*request, false);
+    if (this->try_send_to(request, away))
+    {
+        return true;
+    }
+    this->ask_for_permits(away);
+    return false;
+}
+
+bool runner_router::try_send_to(
+    routed_ptr const& request, std::vector<instance const*> const& from)
+{
+    instance const* runner =
+        this->choose(from, milliseconds(request->service.timeout_ms));
+    if (runner == nullptr)
+    {
+        return false;
+    }
+    this->send(request, *runner);
+    return true;
+}
+
+void runner_router::send(routed_ptr const& request, instance const& runner)
+{
+    http_request const& original = request->context->request;
+    http_call call;
+    call.method = original.method;
+    call.url = runner.address + request->context->service_path;
+    for (http_field const& field : original.headers)
+    {
+        if (forwarded(field.name))
+        {
+            call.headers.push_back(field);
+        }
+    }
+    call.headers.push_back({"X-Customer", request->context->customer.name});
+    call.headers.push_back({"X-Request-Id", request->request_id});
+    call.headers.push_back(
+        {"X-Deadline-Ms", std::to_string(request->service.timeout_ms)});
+    call.body = original.body;
+    call.timeout = milliseconds(request->service.timeout_ms);
+    call.connect_timeout = this->settings.connect_timeout;
+    call.fresh_connection = !request->service.idempotent;
+    ++request->attempts;
+    this->permits.use(runner.id);
+    if (this->settings.log_decisions)
+    {
+        auto spent = this->loop.now() - request->context->arrived;
+        log_line("routing")
+            .with("request", request->request_id)
+            .with("customer", request->context->customer.name)
+            .with("service", request->service.name)
+            .with("runner", runner.id)
+            .with("domain", runner.domain)
+            .with("attempt", request->attempts)
+            .with("in_use", this->permits.in_use(runner.id))
+            .with("reason", "least-outstanding-of-two")
+            .with("spent_us", spent.count());
+    }
+    auto still_alive = this->alive;
+    this->client.send(std::move(call),
+        [this, still_alive, request, id = runner.id](http_result const& result)
+        {
+            if (*still_alive)
+            {
+                this->on_result(request, id, result);
+            }
+        });
+}
+
+void runner_router::on_result(routed_ptr const& request,
+    std::string const& runner, http_result const& result)
+{
+    if (result.delivery == http_delivery::in_doubt)
+    {
+        // The runner may be busy with it until its time limit.
+        auto still_alive = this->alive;
+        this->loop.after(milliseconds(request->service.timeout_ms),
+            [this, still_alive, runner]
+            {
+                if (*still_alive)
+                {
+                    this->permits.put_back(runner);
+                }
+            });
+    }
+    else
+    {
+        this->permits.put_back(runner);
+    }
+    if (result.delivery == http_delivery::answered)
+    {
+        this->pass_back(*request, runner, result);
+    }
+    else
+    {
+        this->send_again_or_fail(request, runner, result);
+    }
+    this->pump();
+}
+
+void runner_router::pass_back(
+    routed& request, std::string const& runner, http_result const& result)
+{
+    auto spent = this->loop.now() - request.context->arrived;
+    metrics().observe("request_us", spent.count());
+    http_response response;
+    response.status = result.response.status;
+    response.body = result.response.body;
+    auto type = find_field(result.response.headers, "Content-Type");
+    if (type)
+    {
+        response.headers.push_back({"Content-Type", *type});
+    }
+    response.headers.push_back({"X-Toucan-Runner", runner});
+    request.context->answer(std::move(response));
+}
+
+void runner_router::send_again_or_fail(routed_ptr const& request,
+    std::string const& runner, http_result const& result)
+{
+    bool not_sent = result.delivery == http_delivery::not_sent;
+    log_line("request-not-answered")
+        .with("request", request->request_id)
+        .with("runner", runner)
+        .with("sent", not_sent ? "no" : "maybe")
+        .with("reason", result.problem);
+    if (not_sent)
+    {
+        this->down_until[runner] = this->loop.now() + avoid_for;
+    }
+    request->may_have_run = request->may_have_run || !not_sent;
+    bool safe = not_sent || request->service.idempotent;
+    bool in_time = this->loop.now() < request->give_up;
+    if (safe && in_time && this->budget.take_retry())
+    {
+        metrics().count("requests_retried");
+        request->tried.insert(runner);
+        if (!this->try_send(request))
+        {
+            this->waiting[request->service.name].push_back(request);
+        }
+        return;
+    }
+    request->context->fail(
+        request->may_have_run
+            ? error(error_code::outcome_unknown,
+                  "the runner did not answer: " + result.problem,
+                  "await-runner", runner, run_state::unknown)
+            : error(error_code::unavailable, "the runner cannot be reached",
+                  "connect-runner", runner, run_state::no));
+}
+
+void runner_router::pump()
+{
+    auto now = this->loop.now();
+    for (auto& entry : this->waiting)
+    {
+        auto& queue = entry.second;
+        while (!queue.empty())
+        {
+            routed_ptr next = queue.front();
+            if (now >= next->give_up)
+            {
+                queue.pop_front();
+                next->context->fail(
+                    next->may_have_run
+                        ? error(error_code::outcome_unknown,
+                              "the runner did not answer", "await-runner", {},
+                              run_state::unknown)
+                        : not_run(error_code::unavailable,
+                              "no runner had a free slot in time"));
+                continue;
+            }
+            queue.pop_front();
+            if (!this->try_send(next))
+            {
+                queue.push_front(next);
+                break;
+            }
+        }
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/gateway/scheduler_pool.cpp
@@ -0,0 +1,227 @@
+#include "toucanlever/gateway/scheduler_pool.hpp"
+
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/settings_file.hpp"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace toucanlever
+{
+
+scheduler_pool::scheduler_pool(
+    event_loop& loop, gateway_settings const& settings)
+    : loop(loop)
+    , settings(settings)
+{
+    for (std::string const& address : settings.schedulers)
+    {
+        this->add(address);
+    }
+    this->timer = loop.every(settings.heartbeat, [this] { this->poll(); });
+}
+
+scheduler_pool::~scheduler_pool()
+{
+    this->loop.cancel(this->timer);
+}
+
+void scheduler_pool::add(std::string const& address)
+{
+    if (this->members.count(address) > 0)
+    {
+        return;
+    }
+    rpc_timing timing;
+    timing.heartbeat = this->settings.heartbeat;
+    this->members[address].client =
+        std::make_unique<rpc_client>(this->loop, address, timing);
+}
+
+void scheduler_pool::poll()
+{
+    for (auto& entry : this->members)
+    {
+        this->ask(entry.first, entry.second);
+    }
+}
+
+void scheduler_pool::ask(std::string const& address, member& target)
+{
+    if (target.asking || !target.client->connected())
+    {
+        return;
+    }
+    target.asking = true;
+    state_request request;
+    request.config_revision = this->present.revision;
+    request.endpoints_digest = this->digest;
+    target.client->request(message_type::state_request, pack(request),
+        this->settings.scheduler_timeout,
+        [this, address](rpc_result const& result)
+        {
+            member& asked = this->members.at(address);
+            asked.asking = false;
+            try
+            {
+                auto reply =
+                    result.as<state_reply>(message_type::state_reply, address);
+                asked.state = reply.state;
+                asked.heard = this->loop.now();
+                this->take(reply);
+            }
+            catch (error const&)
+            {
+                // The link reports its own loss; silence is what counts.
+            }
+        });
+}
+
+void scheduler_pool::take(state_reply const& reply)
+{
+    this->take_config(reply.config);
+    bool newer =
+        !reply.endpoints.empty() && reply.endpoints_digest != this->digest &&
+        (reply.state.domain == this->settings.domain || this->known.empty());
+    if (!newer)
+    {
+        return;
+    }
+    this->known = reply.endpoints;
+    this->digest = reply.endpoints_digest;
+    for (instance const& each : this->known)
+    {
+        if (each.role == instance_role::entry)
+        {
+            this->add(each.address);
+        }
+    }
+    if (this->changed)
+    {
+        this->changed();
+    }
+}
+
+void scheduler_pool::take_config(config_snapshot const& snapshot)
+{
+    if (snapshot.revision <= this->present.revision)
+    {
+        return;
+    }
+    try
+    {
+        this->parsed = parse_cell_config(
+            snapshot.yaml, "revision-" + std::to_string(snapshot.revision));
+    }
+    catch (settings_error const& problem)
+    {
+        log_line("configuration-refused").with("reason", problem.what());
+        return;
+    }
+    this->present = snapshot;
+    log_line("configuration-in-force")
+        .with("revision", snapshot.revision)
+        .with("preset", snapshot.preset);
+    if (this->changed)
+    {
+        this->changed();
+    }
+}
+
+bool scheduler_pool::is_live(member const& each) const
+{
+    return each.client->connected() && each.state.ready &&
+           !each.state.leaving &&
+           this->loop.now() - each.heard < this->settings.scheduler_timeout;
+}
+
+rpc_client* scheduler_pool::pick() const
+{
+    static thread_local std::minstd_rand random{std::random_device{}()};
+    // Own domain before others, with workers before without.
+    std::array<std::vector<member const*>, 4> ranks;
+    for (auto const& entry : this->members)
+    {
+        if (this->is_live(entry.second))
+        {
+            scheduler_state const& state = entry.second.state;
+            bool away = state.domain != this->settings.domain;
+            bool idle = state.capacity.cpu_millis == 0;
+            ranks[(away ? 2U : 0U) + (idle ? 1U : 0U)].push_back(&entry.second);
+        }
+    }
+    auto found = std::find_if(ranks.begin(), ranks.end(),
+        [](auto const& rank) { return !rank.empty(); });
+    if (found == ranks.end())
+    {
+        return nullptr;
+    }
+    auto const& from = *found;
+    std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+    member const* first = from[any(random)];
+    member const* second = from[any(random)];
+    bool first_wins =
+        first->state.queued < second->state.queued ||
+        (first->state.queued == second->state.queued &&
+            first->state.free.cpu_millis >= second->state.free.cpu_millis);
+    return (first_wins ? first : second)->client.get();
+}
+
+rpc_client* scheduler_pool::serving(std::string const& incarnation) const
+{
+    for (auto const& entry : this->members)
+    {
+        auto const& serves = entry.second.state.serves;
+        bool answers = std::find(serves.begin(), serves.end(), incarnation) !=
+                       serves.end();
+        auto age = this->loop.now() - entry.second.heard;
+        if (answers && entry.second.client->connected() &&
+            age < this->settings.scheduler_timeout)
+        {
+            return entry.second.client.get();
+        }
+    }
+    return nullptr;
+}
+
+rpc_client* scheduler_pool::find(std::string const& incarnation) const
+{
+    for (auto const& entry : this->members)
+    {
+        if (entry.second.state.incarnation == incarnation)
+        {
+            return entry.second.client.get();
+        }
+    }
+    return nullptr;
+}
+
+std::vector<rpc_client*> scheduler_pool::all() const
+{
+    std::vector<rpc_client*> list;
+    for (auto const& entry : this->members)
+    {
+        if (entry.second.client->connected())
+        {
+            list.push_back(entry.second.client.get());
+        }
+    }
+    return list;
+}
+
+std::vector<scheduler_state> scheduler_pool::live(
+    std::string const& domain) const
+{
+    std::vector<scheduler_state> list;
+    for (auto const& entry : this->members)
+    {
+        if (this->is_live(entry.second) && entry.second.state.domain == domain)
+        {
+            list.push_back(entry.second.state);
+        }
+    }
+    return list;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,405 @@
+#include "toucanlever/http/server.hpp"
+
+#include "toucanlever/core/error.hpp"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <cstring>
+#include <map>
+#include <microhttpd.h>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr unsigned idle_timeout_s = 120;
+constexpr milliseconds sweep_period{500};
+
+sockaddr_in to_sockaddr(std::string const& address)
+{
+    auto colon = address.rfind(':');
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr);
+    result.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    return result;
+}
+
+std::string describe(MHD_Connection* connection)
+{
+    auto const* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == nullptr || info->client_addr->sa_family != AF_INET)
+    {
+        return "?";
+    }
+    auto const* ip = reinterpret_cast<sockaddr_in const*>(info->client_addr);
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &ip->sin_addr, text, sizeof text);
+    return std::string(text) + ":" + std::to_string(ntohs(ip->sin_port));
+}
+
+MHD_Result collect_field(
+    void* into, MHD_ValueKind, char const* name, char const* value)
+{
+    auto* fields = static_cast<http_fields*>(into);
+    fields->push_back({name, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+MHD_Result queue_response(
+    MHD_Connection* connection, http_response const& response)
+{
+    MHD_Response* out = MHD_create_response_from_buffer(response.body.size(),
+        const_cast<char*>(response.body.data()), MHD_RESPMEM_MUST_COPY);
+    for (http_field const& field : response.headers)
+    {
+        MHD_add_response_header(out, field.name.c_str(), field.value.c_str());
+    }
+    auto queued = MHD_queue_response(
+        connection, static_cast<unsigned>(response.status), out);
+    MHD_destroy_response(out);
+    return queued;
+}
+
+/// A suspended connection.
+class suspended_exchange final : public http_exchange
+{
+public:
+    suspended_exchange(
+        MHD_Connection* connection, std::atomic<std::size_t>& open)
+        : connection(connection)
+        , open(open)
+    {
+        ++open;
+    }
+
+    void answer(http_response response) override
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->state != phase::waiting)
+        {
+            return;
+        }
+        this->state = phase::answered;
+        this->response = std::move(response);
+        MHD_resume_connection(this->connection);
+    }
+
+    http_response take()
+    {
+        std::lock_guard lock(this->mutex);
+        return std::move(this->response);
+    }
+
+    /// The connection is about to be gone.
+    void end()
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->state != phase::ended)
+        {
+            this->state = phase::ended;
+            --this->open;
+        }
+    }
+
+private:
+    enum class phase
+    {
+        waiting,
+        answered,
+        ended
+    };
+
+    std::mutex mutex;
+    MHD_Connection* connection;
+    std::atomic<std::size_t>& open;
+    phase state = phase::waiting;
+    http_response response;
+};
+
+/// A request while libmicrohttpd reads it.
+struct reading
+{
+    http_request request;
+    bool too_large = false;
+    std::shared_ptr<suspended_exchange> waiting;
+};
+
+/// When a connection began its present request, and whether it is done.
+struct connection_clock
+{
+    int socket = -1;
+    time_point since;
+    bool waiting_for_caller = true;
+};
+
+http_response refusal(int status, error_code code, std::string const& message,
+    std::string const& peer)
+{
+    nlohmann::json body{{"code", name_of(code)}, {"message", message},
+        {"step", "read-request"}, {"peer", peer}, {"ran", "no"}};
+    return json_response(status, body.dump());
+}
+
+} // namespace
+
+class http_server::impl
+{
+public:
+    impl(event_loop& loop, std::string const& address, http_handler& handler,
+        http_limits limits)
+        : loop(loop)
+        , handler(handler)
+        , limits(limits)
+    {
+        sockaddr_in local = to_sockaddr(address);
+        this->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
+                                            MHD_ALLOW_SUSPEND_RESUME |
+                                            MHD_USE_ITC,
+            0, nullptr, nullptr, &impl::on_access, this, MHD_OPTION_SOCK_ADDR,
+            &local, MHD_OPTION_CONNECTION_LIMIT, limits.max_connections,
+            MHD_OPTION_CONNECTION_TIMEOUT, idle_timeout_s,
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT, limits.max_header_bytes,
+            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
+            &impl::on_completed, this, MHD_OPTION_NOTIFY_CONNECTION,
+            &impl::on_connection, this, MHD_OPTION_END);
+        if (this->daemon == nullptr)
+        {
+            throw error(error_code::unavailable,
+                std::string("cannot listen: ") + std::strerror(errno), "listen",
+                address);
+        }
+        this->sweep =
+            loop.every(sweep_period, [this] { this->close_slow_callers(); });
+    }
+
+    ~impl()
+    {
+        this->loop.cancel(this->sweep);
+        this->stop_accepting();
+        this->resume_all();
+        MHD_stop_daemon(this->daemon);
+    }
+
+    void stop_accepting()
+    {
+        if (!this->quiesced)
+        {
+            this->quiesced = true;
+            int socket = MHD_quiesce_daemon(this->daemon);
+            if (socket >= 0)
+            {
+                ::close(socket);
+            }
+        }
+    }
+
+    std::size_t in_progress() const { return this->open; }
+
+private:
+    static MHD_Result on_access(void* self, MHD_Connection* connection,
+        char const* url, char const* method, char const*, char const* data,
+        size_t* size, void** state)
+    {
+        return static_cast<impl*>(self)->access(
+            connection, url, method, data, size, state);
+    }
+
+    MHD_Result access(MHD_Connection* connection, char const* url,
+        char const* method, char const* data, size_t* size, void** state)
+    {
+        auto* current = static_cast<reading*>(*state);
+        if (current == nullptr)
+        {
+            current = new reading();
+            current->request.method = method;
+            current->request.path = url;
+            current->request.peer = describe(connection);
+            MHD_get_connection_values(connection, MHD_HEADER_KIND,
+                &collect_field, &current->request.headers);
+            MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
+                &collect_field, &current->request.query);
+            *state = current;
+            return MHD_YES;
+        }
+        if (*size > 0)
+        {
+            this->append(*current, std::string_view(data, *size));
+            *size = 0;
+            return MHD_YES;
+        }
+        this->caller_is_done(connection);
+        if (current->waiting)
+        {
+            return queue_response(connection, current->waiting->take());
+        }
+        if (current->too_large)
+        {
+            return queue_response(connection,
+                refusal(413, error_code::too_large,
+                    "body is larger than " +
+                        std::to_string(this->limits.max_body_bytes) + " bytes",
+                    current->request.peer));
+        }
+        this->hand_over(connection, *current);
+        return MHD_YES;
+    }
+
+    void append(reading& current, std::string_view data)
+    {
+        if (current.request.body.size() + data.size() >
+            this->limits.max_body_bytes)
+        {
+            current.too_large = true;
+            current.request.body.clear();
+        }
+        if (!current.too_large)
+        {
+            current.request.body.append(data);
+        }
+    }
+
+    void hand_over(MHD_Connection* connection, reading& current)
+    {
+        MHD_suspend_connection(connection);
+        current.waiting =
+            std::make_shared<suspended_exchange>(connection, this->open);
+        auto waiting = current.waiting;
+        {
+            std::lock_guard lock(this->mutex);
+            this->exchanges.emplace(waiting.get(), waiting);
+        }
+        this->loop.post(
+            [this, waiting, request = std::move(current.request)]() mutable
+            { this->handler.on_request(std::move(request), waiting); });
+    }
+
+    static void on_completed(void* self, MHD_Connection* connection,
+        void** state, MHD_RequestTerminationCode)
+    {
+        auto* owner = static_cast<impl*>(self);
+        auto* current = static_cast<reading*>(*state);
+        if (current == nullptr)
+        {
+            return;
+        }
+        if (current->waiting)
+        {
+            current->waiting->end();
+            std::lock_guard lock(owner->mutex);
+            owner->exchanges.erase(current->waiting.get());
+        }
+        delete current;
+        *state = nullptr;
+        owner->next_request_begins(connection);
+    }
+
+    static void on_connection(void* self, MHD_Connection* connection, void**,
+        MHD_ConnectionNotificationCode code)
+    {
+        auto* owner = static_cast<impl*>(self);
+        std::lock_guard lock(owner->mutex);
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+        {
+            owner->clocks.erase(connection);
+            return;
+        }
+        auto const* info = MHD_get_connection_info(
+            connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        owner->clocks[connection] =
+            connection_clock{info->connect_fd, owner->loop.now(), true};
+    }
+
+    void caller_is_done(MHD_Connection* connection)
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->clocks.find(connection);
+        if (found != this->clocks.end())
+        {
+            found->second.waiting_for_caller = false;
+        }
+    }
+
+    /// An idle kept-alive connection has no request time to keep: only the
+    /// library's own idle limit holds until the next bytes arrive.
+    void next_request_begins(MHD_Connection* connection)
+    {
+        std::lock_guard lock(this->mutex);
+        auto found = this->clocks.find(connection);
+        if (found != this->clocks.end())
+        {
+            found->second.since =
+                this->loop.now() + std::chrono::seconds(idle_timeout_s);
+            found->second.waiting_for_caller = true;
+        }
+    }
+
+    void close_slow_callers()
+    {
+        std::lock_guard lock(this->mutex);
+        for (auto const& entry : this->clocks)
+        {
+            connection_clock const& kept = entry.second;
+            if (kept.waiting_for_caller &&
+                this->loop.now() - kept.since > this->limits.request_time)
+            {
+                ::shutdown(kept.socket, SHUT_RD);
+            }
+        }
+    }
+
+    void resume_all()
+    {
+        std::vector<std::shared_ptr<suspended_exchange>> waiting;
+        {
+            std::lock_guard lock(this->mutex);
+            for (auto const& entry : this->exchanges)
+            {
+                waiting.push_back(entry.second);
+            }
+        }
+        for (auto const& left : waiting)
+        {
+            left->answer(refusal(
+                503, error_code::unavailable, "the instance is stopping", {}));
+        }
+    }
+
+    event_loop& loop;
+    http_handler& handler;
+    http_limits limits;
+    MHD_Daemon* daemon = nullptr;
+    bool quiesced = false;
+    std::atomic<std::size_t> open = 0;
+    std::mutex mutex;
+    std::map<suspended_exchange*, std::shared_ptr<suspended_exchange>>
+        exchanges;
+    std::map<MHD_Connection*, connection_clock> clocks;
+    event_loop::timer_id sweep = 0;
+};
+
+http_server::http_server(event_loop& loop, std::string const& address,
+    http_handler& handler, http_limits limits)
+    : pimpl(std::make_unique<impl>(loop, address, handler, limits))
+{
+}
+
+http_server::~http_server() = default;
+
+void http_server::stop_accepting()
+{
+    this->pimpl->stop_accepting();
+}
+
+std::size_t http_server::in_progress() const
+{
+    return this->pimpl->in_progress();
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/policy/cell_view.cpp
@@ -0,0 +1,340 @@
+#include "toucanlever/policy/cell_view.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr std::size_t tight_candidates = 16;
+constexpr std::size_t min_leaves = 64;
+constexpr std::int64_t not_searchable = -1;
+
+resources max_of(resources const& a, resources const& b)
+{
+    return {std::max(a.cpu_millis, b.cpu_millis),
+        std::max(a.memory_bytes, b.memory_bytes),
+        std::max(a.accelerators, b.accelerators)};
+}
+
+resources const nothing{not_searchable, not_searchable, not_searchable};
+
+} // namespace
+
+bool cell_view::searchable(worker_slot slot) const
+{
+    view_worker const& worker = this->workers[slot];
+    return worker.present && !worker.held_back;
+}
+
+void cell_view::index(worker_slot slot)
+{
+    if (this->searchable(slot))
+    {
+        for (std::size_t d = 0; d < resources::dimensions; ++d)
+        {
+            this->levels[d].emplace(this->workers[slot].free.at(d), slot);
+        }
+    }
+    this->update_tree(slot);
+}
+
+void cell_view::unindex(worker_slot slot)
+{
+    if (!this->searchable(slot))
+    {
+        return;
+    }
+    for (std::size_t d = 0; d < resources::dimensions; ++d)
+    {
+        this->levels[d].erase({this->workers[slot].free.at(d), slot});
+    }
+}
+
+void cell_view::update_tree(worker_slot slot)
+{
+    if (slot >= this->leaves)
+    {
+        this->rebuild_tree();
+        return;
+    }
+    std::size_t node = this->leaves + slot;
+    this->tree[node] =
+        this->searchable(slot) ? this->workers[slot].free : nothing;
+    for (node /= 2; node >= 1; node /= 2)
+    {
+        resources best = max_of(this->tree[2 * node], this->tree[2 * node + 1]);
+        if (best == this->tree[node])
+        {
+            return;
+        }
+        this->tree[node] = best;
+    }
+}
+
+void cell_view::rebuild_tree()
+{
+    this->leaves = std::max(min_leaves, this->leaves);
+    while (this->leaves < this->workers.size())
+    {
+        this->leaves *= 2;
+    }
+    this->tree.assign(2 * this->leaves, nothing);
+    for (worker_slot slot = 0; slot < this->workers.size(); ++slot)
+    {
+        if (this->searchable(slot))
+        {
+            this->tree[this->leaves + slot] = this->workers[slot].free;
+        }
+    }
+    for (std::size_t node = this->leaves - 1; node >= 1; --node)
+    {
+        this->tree[node] =
+            max_of(this->tree[2 * node], this->tree[2 * node + 1]);
+    }
+}
+
+worker_slot cell_view::add(std::string const& id, std::string const& domain,
+    std::string const& rack, resources const& size, resources const& unused)
+{
+    worker_slot slot = 0;
+    if (this->vacant.empty())
+    {
+        slot = static_cast<worker_slot>(this->workers.size());
+        this->workers.emplace_back();
+    }
+    else
+    {
+        slot = this->vacant.back();
+        this->vacant.pop_back();
+    }
+    this->workers[slot] =
+        view_worker{id, domain, rack, size, unused, true, false};
+    this->by_id[id] = slot;
+    this->capacity += size;
+    this->free += unused;
+    auto shape = std::find_if(this->shapes.begin(), this->shapes.end(),
+        [&size](auto const& entry) { return entry.first == size; });
+    if (shape == this->shapes.end())
+    {
+        this->shapes.emplace_back(size, 1);
+    }
+    else
+    {
+        ++shape->second;
+    }
+    ++this->grown;
+    this->index(slot);
+    return slot;
+}
+
+void cell_view::remove(worker_slot slot)
+{
+    view_worker& worker = this->workers[slot];
+    this->unindex(slot);
+    this->capacity -= worker.capacity;
+    this->free -= worker.free;
+    this->by_id.erase(worker.id);
+    auto shape = std::find_if(this->shapes.begin(), this->shapes.end(),
+        [&worker](auto const& entry)
+        { return entry.first == worker.capacity; });
+    if (--shape->second == 0)
+    {
+        this->shapes.erase(shape);
+    }
+    worker = view_worker{};
+    this->vacant.push_back(slot);
+    this->update_tree(slot);
+}
+
+void cell_view::set_free(worker_slot slot, resources const& unused)
+{
+    view_worker& worker = this->workers[slot];
+    if (worker.free == unused)
+    {
+        return;
+    }
+    this->unindex(slot);
+    if (!worker.free.fits(unused))
+    {
+        ++this->grown;
+    }
+    this->free += unused - worker.free;
+    worker.free = unused;
+    this->index(slot);
+}
+
+void cell_view::take(worker_slot slot, resources const& need)
+{
+    if (!this->workers[slot].free.fits(need))
+    {
+        throw std::logic_error(
+            "placement would pass the capacity of " + this->workers[slot].id);
+    }
+    this->set_free(slot, this->workers[slot].free - need);
+}
+
+void cell_view::give(worker_slot slot, resources const& need)
+{
+    this->set_free(slot, this->workers[slot].free + need);
+}
+
+void cell_view::hold_back(worker_slot slot, bool held)
+{
+    this->unindex(slot);
+    this->workers[slot].held_back = held;
+    this->index(slot);
+    ++this->grown;
+}
+
+std::size_t cell_view::scarcest() const
+{
+    std::size_t scarce = 0;
+    double lowest = 2.0;
+    for (std::size_t d = 0; d < resources::dimensions; ++d)
+    {
+        if (this->capacity.at(d) <= 0)
+        {
+            continue;
+        }
+        double part = static_cast<double>(this->free.at(d)) /
+                      static_cast<double>(this->capacity.at(d));
+        if (part < lowest)
+        {
+            lowest = part;
+            scarce = d;
+        }
+    }
+    return scarce;
+}
+
+std::optional<worker_slot> cell_view::tightest(
+    resources const& need, std::uint32_t& examined) const
+{
+    std::size_t dimension = this->scarcest();
+    level const& order = this->levels[dimension];
+    auto at = order.lower_bound({need.at(dimension), 0});
+    for (std::size_t i = 0; i < tight_candidates && at != order.end();
+         ++i, ++at)
+    {
+        ++examined;
+        if (this->workers[at->second].free.fits(need))
+        {
+            return at->second;
+        }
+    }
+    if (at == order.end())
+    {
+        return std::nullopt;
+    }
+    return this->first(need, examined);
+}
+
+std::vector<worker_slot> cell_view::emptiest(
+    resources const& need, std::size_t limit, std::uint32_t& examined) const
+{
+    std::vector<worker_slot> found;
+    level const& order = this->levels[this->scarcest()];
+    std::size_t looked = 0;
+    for (auto at = order.rbegin(); at != order.rend(); ++at)
+    {
+        ++examined;
+        if (this->workers[at->second].free.fits(need))
+        {
+            found.push_back(at->second);
+        }
+        if (found.size() >= limit || ++looked >= 2 * limit)
+        {
+            break;
+        }
+    }
+    if (found.empty())
+    {
+        if (auto any = this->first(need, examined))
+        {
+            found.push_back(*any);
+        }
+    }
+    return found;
+}
+
+std::optional<worker_slot> cell_view::first(
+    resources const& need, std::uint32_t& examined) const
+{
+    if (this->tree.empty())
+    {
+        return std::nullopt;
+    }
+    return this->search_tree(1, need, examined);
+}
+
+std::optional<worker_slot> cell_view::search_tree(
+    std::size_t node, resources const& need, std::uint32_t& examined) const
+{
+    if (!this->tree[node].fits(need))
+    {
+        return std::nullopt;
+    }
+    if (node >= this->leaves)
+    {
+        ++examined;
+        return static_cast<worker_slot>(node - this->leaves);
+    }
+    if (auto left = this->search_tree(2 * node, need, examined))
+    {
+        return left;
+    }
+    return this->search_tree(2 * node + 1, need, examined);
+}
+
+std::optional<worker_slot> cell_view::best_to_empty(
+    resources const& need, std::size_t limit) const
+{
+    std::size_t dimension = this->scarcest();
+    level const& order = this->levels[dimension];
+    std::size_t looked = 0;
+    for (auto at = order.rbegin(); at != order.rend() && looked < limit;
+         ++at, ++looked)
+    {
+        if (this->workers[at->second].capacity.fits(need))
+        {
+            return at->second;
+        }
+    }
+    return std::nullopt;
+}
+
+bool cell_view::ever_fits(resources const& need) const
+{
+    return std::any_of(this->shapes.begin(), this->shapes.end(),
+        [&need](auto const& shape) { return shape.first.fits(need); });
+}
+
+std::size_t cell_view::limiting_dimension(resources const& need) const
+{
+    for (std::size_t d = 0; d < resources::dimensions; ++d)
+    {
+        bool enough = std::any_of(this->shapes.begin(), this->shapes.end(),
+            [&need, d](auto const& shape)
+            { return shape.first.at(d) >= need.at(d); });
+        if (!enough)
+        {
+            return d;
+        }
+    }
+    return 0;
+}
+
+std::optional<worker_slot> cell_view::find(std::string const& id) const
+{
+    auto found = this->by_id.find(id);
+    if (found == this->by_id.end())
+    {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/policy/share_queue.cpp
@@ -0,0 +1,133 @@
+#include "policy/share_queue.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr std::int64_t no_deadline = std::numeric_limits<std::int64_t>::max();
+
+} // namespace
+
+double share_queue::share_of(
+    customer_state const& state, resources const& holds) const
+{
+    double dominant = 0.0;
+    for (std::size_t d = 0; d < resources::dimensions; ++d)
+    {
+        if (this->total.at(d) > 0)
+        {
+            dominant =
+                std::max(dominant, static_cast<double>(holds.at(d)) /
+                                       static_cast<double>(this->total.at(d)));
+        }
+    }
+    return dominant / static_cast<double>(state.weight);
+}
+
+std::int64_t share_queue::weight_of(std::string const& customer) const
+{
+    auto weight = this->weights.find(customer);
+    return weight == this->weights.end() ? 1 : weight->second;
+}
+
+void share_queue::unlist(std::string const& name, customer_state& state)
+{
+    if (state.listed)
+    {
+        this->order.erase({state.share, name});
+        state.listed = false;
+    }
+}
+
+void share_queue::relist(std::string const& name, customer_state& state)
+{
+    this->unlist(name, state);
+    if (state.urgent.empty() && state.normal.empty())
+    {
+        return;
+    }
+    state.share = this->share_of(state, state.holds);
+    state.listed = true;
+    this->order.emplace(state.share, name);
+}
+
+void share_queue::enqueue(queued_job job)
+{
+    job_order place{job.deadline_us > 0 ? job.deadline_us : no_deadline,
+        job.queued_at_us, this->next_sequence++};
+    customer_state& state = this->customers[job.customer];
+    state.weight = this->weight_of(job.customer);
+    (job.urgent ? state.urgent : state.normal).emplace(place, job.id);
+    this->ages.emplace(job.queued_at_us, job.id);
+    std::string customer = job.customer;
+    std::string id = job.id;
+    this->jobs.emplace(id, waiting_job{std::move(job), place});
+    this->relist(customer, state);
+}
+
+bool share_queue::remove(std::string const& job_id)
+{
+    auto found = this->jobs.find(job_id);
+    if (found == this->jobs.end())
+    {
+        return false;
+    }
+    queued_job const& job = found->second.job;
+    customer_state& state = this->customers[job.customer];
+    (job.urgent ? state.urgent : state.normal).erase(found->second.order);
+    this->ages.erase({job.queued_at_us, job.id});
+    this->relist(job.customer, state);
+    this->jobs.erase(found);
+    return true;
+}
+
+void share_queue::set_weights(share_weights fresh)
+{
+    this->weights = std::move(fresh);
+    for (auto& entry : this->customers)
+    {
+        entry.second.weight = this->weight_of(entry.first);
+        this->relist(entry.first, entry.second);
+    }
+}
+
+void share_queue::started(std::string const& customer, resources const& need)
+{
+    customer_state& state = this->customers[customer];
+    state.holds += need;
+    this->relist(customer, state);
+}
+
+void share_queue::ended(std::string const& customer, resources const& need)
+{
+    customer_state& state = this->customers[customer];
+    state.holds -= need;
+    this->relist(customer, state);
+}
+
+queued_job const* share_queue::find(std::string const& job_id) const
+{
+    auto found = this->jobs.find(job_id);
+    return found == this->jobs.end() ? nullptr : &found->second.job;
+}
+
+std::vector<queued_job> share_queue::waiting(
+    std::size_t limit, std::int64_t before_us) const
+{
+    std::vector<queued_job> list;
+    for (auto const& entry : this->ages)
+    {
+        if (list.size() >= limit || entry.first >= before_us)
+        {
+            break;
+        }
+        list.push_back(this->at(entry.second));
+    }
+    return list;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/policy/share_queue.hpp
@@ -0,0 +1,113 @@
+/// Waiting jobs by customer, and customers by their weighted dominant share of
+/// what is there.
+#pragma once
+
+#include "toucanlever/policy/placement_policy.hpp"
+
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace toucanlever
+{
+
+/// See the head of this file.
+class share_queue
+{
+public:
+    /// Earliest start deadline first, then order of arrival.
+    struct job_order
+    {
+        std::int64_t deadline_us = 0;
+        std::int64_t queued_at_us = 0;
+        std::uint64_t sequence = 0;
+
+        bool operator<(job_order const& other) const
+        {
+            return std::tie(this->deadline_us, this->queued_at_us,
+                       this->sequence) < std::tie(other.deadline_us,
+                                             other.queued_at_us,
+                                             other.sequence);
+        }
+    };
+
+    using job_queue = std::map<job_order, std::string>;
+
+    /// One customer's waiting work and what its running work holds.
+    struct customer_state
+    {
+        resources holds;
+        std::int64_t weight = 1;
+        job_queue urgent;
+        job_queue normal;
+        /// Position among the customers; only while something waits.
+        double share = 0.0;
+        bool listed = false;
+    };
+
+    void enqueue(queued_job job);
+
+    /// False when the job does not wait here.
+    bool remove(std::string const& job_id);
+
+    void set_weights(share_weights fresh);
+
+    /// What shares are parts of.
+    void set_total(resources const& capacity) { this->total = capacity; }
+
+    /// What a customer's running work holds changed.
+    void started(std::string const& customer, resources const& need);
+    void ended(std::string const& customer, resources const& need);
+
+    /// Weighted dominant share of a customer that held this.
+    double share_of(customer_state const& state, resources const& holds) const;
+
+    /// Customers with waiting work, the lowest share first.
+    std::set<std::pair<double, std::string>> const& by_share() const
+    {
+        return this->order;
+    }
+
+    /// Throws std::out_of_range for one that never had work here.
+    customer_state const& customer(std::string const& name) const
+    {
+        return this->customers.at(name);
+    }
+
+    /// Null when the job does not wait here.
+    queued_job const* find(std::string const& job_id) const;
+
+    queued_job const& at(std::string const& job_id) const
+    {
+        return this->jobs.at(job_id).job;
+    }
+
+    std::size_t size() const { return this->jobs.size(); }
+
+    /// Up to `limit` jobs queued before `before_us`, oldest first.
+    std::vector<queued_job> waiting(
+        std::size_t limit, std::int64_t before_us) const;
+
+private:
+    struct waiting_job
+    {
+        queued_job job;
+        job_order order;
+    };
+
+    std::int64_t weight_of(std::string const& customer) const;
+    void relist(std::string const& name, customer_state& state);
+    void unlist(std::string const& name, customer_state& state);
+
+    std::unordered_map<std::string, waiting_job> jobs;
+    std::map<std::string, customer_state> customers;
+    share_weights weights;
+    // Invariant: exactly the customers with waiting work, by weighted share.
+    std::set<std::pair<double, std::string>> order;
+    // All waiting jobs by arrival.
+    std::set<std::pair<std::int64_t, std::string>> ages;
+    std::uint64_t next_sequence = 1;
+    resources total;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/programs/ctl/api_client.hpp
@@ -0,0 +1,41 @@
+/// toucanctl's calls to a gateway.
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace toucanlever
+{
+
+/// Exit codes of toucanctl, documented in docs/OPERATORS.md.
+enum class ctl_exit
+{
+    done = 0,
+    refused = 1,
+    usage = 2,
+    unreachable = 3,
+    job_failed = 4
+};
+
+/// A gateway's answer.
+struct api_answer
+{
+    /// 0 when there was none.
+    int status = 0;
+    nlohmann::json body;
+    std::string text;
+};
+
+/// Where to call and as whom.
+struct api_target
+{
+    std::string gateway;
+    std::string token;
+};
+
+/// Sends one request and waits for its answer.
+api_answer call_api(api_target const& target, std::string const& method,
+    std::string const& path, std::string const& body,
+    std::string const& idempotency_key, int timeout_s);
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/wire/rpc.cpp
@@ -0,0 +1,256 @@
+#include "toucanlever/wire/rpc.hpp"
+
+#include "toucanlever/core/log.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr int silent_heartbeats = 2;
+// The accepting side waits longer: the dialling side is the one to redial.
+constexpr int server_silent_heartbeats = 8;
+
+error to_error(error_reply const& reply)
+{
+    auto code = parse_enum<error_code>(reply.code);
+    auto ran = parse_enum<run_state>(reply.ran);
+    return error(code.value_or(error_code::internal), reply.message, reply.step,
+        reply.peer, ran.value_or(run_state::unknown));
+}
+
+rpc_result failed(error problem)
+{
+    rpc_result result;
+    result.problem = std::move(problem);
+    return result;
+}
+
+} // namespace
+
+std::string pack_error(error const& problem)
+{
+    return pack(error_reply{std::string(name_of(problem.code)), problem.what(),
+        problem.step, problem.peer, std::string(name_of(problem.ran))});
+}
+
+rpc_client::rpc_client(event_loop& loop, std::string address, rpc_timing timing)
+    : loop(loop)
+    , remote(std::move(address))
+    , timing(timing)
+{
+    this->dial();
+    this->heartbeat_timer =
+        loop.every(timing.heartbeat / 2, [this] { this->beat(); });
+}
+
+rpc_client::~rpc_client()
+{
+    *this->alive = false;
+    this->loop.cancel(this->heartbeat_timer);
+    this->loop.cancel(this->redial_timer);
+    for (auto& entry : this->pending)
+    {
+        this->loop.cancel(entry.second.timer);
+    }
+}
+
+void rpc_client::dial()
+{
+    this->redial_timer = 0;
+    this->connection = link::dial(this->loop, this->remote, *this);
+}
+
+void rpc_client::request(
+    message_type type, std::string body, milliseconds timeout, callback done)
+{
+    if (!this->is_open)
+    {
+        done(failed(error(error_code::unavailable, "link is down",
+            "send-request", this->remote, run_state::no)));
+        return;
+    }
+    std::uint64_t correlation = this->next_correlation++;
+    auto timer = this->loop.after(timeout,
+        [this, correlation]
+        {
+            this->finish(correlation,
+                failed(error(error_code::timeout, "no reply in time",
+                    "await-reply", this->remote, run_state::unknown)));
+        });
+    this->pending.emplace(correlation, pending_request{std::move(done), timer});
+    this->connection->send(frame{type, correlation,
+        static_cast<std::uint32_t>(timeout.count()), std::move(body)});
+}
+
+void rpc_client::finish(std::uint64_t correlation, rpc_result result)
+{
+    auto found = this->pending.find(correlation);
+    // A late or repeated reply finds nobody waiting and is dropped.
+    if (found == this->pending.end())
+    {
+        return;
+    }
+    callback done = std::move(found->second.done);
+    this->loop.cancel(found->second.timer);
+    this->pending.erase(found);
+    done(std::move(result));
+}
+
+void rpc_client::on_open(link&)
+{
+    this->is_open = true;
+    log_line("link-open").with("peer", this->remote);
+}
+
+void rpc_client::on_frame(link&, frame message)
+{
+    if (message.type == message_type::pong)
+    {
+        return;
+    }
+    rpc_result result;
+    if (message.type == message_type::reply_error)
+    {
+        try
+        {
+            result.problem =
+                to_error(unpack<error_reply>(message.body, this->remote));
+        }
+        catch (error const& problem)
+        {
+            result.problem = problem;
+        }
+    }
+    std::uint64_t correlation = message.correlation;
+    result.reply = std::move(message);
+    this->finish(correlation, std::move(result));
+}
+
+void rpc_client::on_close(link& closed, std::string const& reason)
+{
+    if (this->connection.get() == &closed)
+    {
+        this->lose(reason);
+    }
+}
+
+void rpc_client::lose(std::string const& reason)
+{
+    if (this->is_open)
+    {
+        log_line("link-lost").with("peer", this->remote).with("reason", reason);
+    }
+    this->is_open = false;
+    this->connection.reset();
+    if (this->redial_timer == 0)
+    {
+        this->redial_timer =
+            this->loop.after(this->timing.redial, [this] { this->dial(); });
+    }
+    auto lost = std::move(this->pending);
+    this->pending.clear();
+    auto still_alive = this->alive;
+    for (auto& entry : lost)
+    {
+        this->loop.cancel(entry.second.timer);
+        entry.second.done(
+            failed(error(error_code::unavailable, "link lost before the reply",
+                "await-reply", this->remote, run_state::unknown)));
+        if (!*still_alive)
+        {
+            return;
+        }
+    }
+}
+
+void rpc_client::beat()
+{
+    if (!this->connection)
+    {
+        return;
+    }
+    auto silence = this->loop.now() - this->connection->last_received();
+    if (silence > this->timing.heartbeat * silent_heartbeats)
+    {
+        this->connection->close();
+        this->lose("silent");
+        return;
+    }
+    if (this->is_open)
+    {
+        this->connection->send(frame{message_type::ping, 0, 0, {}});
+    }
+}
+
+rpc_server::rpc_server(event_loop& loop, std::string const& address,
+    rpc_handler& handler, rpc_timing timing)
+    : loop(loop)
+    , handler(handler)
+    , timing(timing)
+{
+    this->acceptor = std::make_unique<link_acceptor>(loop, address,
+        [this](int socket, std::string const& peer)
+        {
+            auto accepted = link::adopt(this->loop, socket, peer, *this);
+            this->links.emplace(accepted.get(), accepted);
+        });
+    this->sweep =
+        loop.every(timing.heartbeat, [this] { this->close_silent(); });
+}
+
+rpc_server::~rpc_server()
+{
+    this->loop.cancel(this->sweep);
+}
+
+void rpc_server::on_open(link&) {}
+
+void rpc_server::on_frame(link& connection, frame message)
+{
+    if (message.type == message_type::ping)
+    {
+        connection.send(frame{message_type::pong, 0, 0, {}});
+        return;
+    }
+    auto found = this->links.find(&connection);
+    if (found == this->links.end())
+    {
+        return;
+    }
+    std::weak_ptr<link> target = found->second;
+    std::uint64_t correlation = message.correlation;
+    rpc_responder respond = [target, correlation](
+                                message_type type, std::string body)
+    {
+        if (auto open = target.lock())
+        {
+            open->send(frame{type, correlation, 0, std::move(body)});
+        }
+    };
+    try
+    {
+        this->handler.on_request(message, connection.peer(), respond);
+    }
+    catch (error const& problem)
+    {
+        respond(message_type::reply_error, pack_error(problem));
+    }
+}
+
+void rpc_server::on_close(link& connection, std::string const&)
+{
+    this->links.erase(&connection);
+}
+
+void rpc_server::close_silent()
+{
+    auto limit = this->timing.heartbeat * server_silent_heartbeats;
+    for (auto it = this->links.begin(); it != this->links.end();)
+    {
+        bool silent = this->loop.now() - it->second->last_received() > limit;
+        it = silent ? this->links.erase(it) : std::next(it);
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/tests/scenario/cell.cpp
@@ -0,0 +1,295 @@
+#include "cell.hpp"
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+namespace scenario
+{
+namespace
+{
+
+constexpr int ready_timeout_ms = 30000;
+constexpr int poll_ms = 50;
+constexpr int scheduler_port = 7300;
+constexpr int gateway_port = 7400;
+constexpr int view_port = 7001;
+constexpr int relay_net = 60;
+constexpr int relay_step = 10;
+constexpr int platform_net = 50;
+
+std::string two_digits(int number)
+{
+    return (number < 10 ? "0" : "") + std::to_string(number);
+}
+
+std::string entry_name(int domain, int entry)
+{
+    return domain_name(domain) + "-" + std::to_string(entry + 1);
+}
+
+} // namespace
+
+std::string domain_name(int index)
+{
+    return std::string(1, static_cast<char>('a' + index));
+}
+
+cell::cell(cell_options options, std::string folder, std::string bin, int block)
+    : chosen(std::move(options))
+    , folder(folder)
+    , bin(std::move(bin))
+    , block(block)
+    , table(folder)
+    , platform_address(this->ip(0, 1) + ":7000")
+    , workers_address(this->ip(0, 2) + ":7100")
+    , runners_address(this->ip(0, 3) + ":7200")
+    , relay_address(this->ip(0, 4) + ":7500")
+{
+}
+
+std::string cell::ip(int third, int fourth) const
+{
+    return "127." + std::to_string(this->block) + "." + std::to_string(third) +
+           "." + std::to_string(fourth);
+}
+
+json cell::instances() const
+{
+    json list = json::array();
+    for (int d = 0; d < this->chosen.domains; ++d)
+    {
+        for (int e = 0; e < this->chosen.entries; ++e)
+        {
+            list.push_back({{"id", "entry-" + entry_name(d, e)},
+                {"role", "entry"}, {"domain", domain_name(d)},
+                {"address", this->ip(d + 1, e + 1) + ":" +
+                                std::to_string(scheduler_port)}});
+        }
+    }
+    for (int w = 0; w < this->chosen.workers; ++w)
+    {
+        int rack = w / this->chosen.rack_size;
+        std::string id = "w" + two_digits(w + 1);
+        list.push_back({{"id", id}, {"role", "worker"},
+            {"domain", domain_name(rack % this->chosen.domains)},
+            {"rack", "rack-" + std::to_string(rack + 1)},
+            {"address", "http://" + this->workers_address + "/w/" + id},
+            {"capacity", {{"cpu_millis", this->chosen.cpu_millis},
+                             {"memory_bytes", this->chosen.memory_bytes},
+                             {"accelerators", this->chosen.accelerators}}}});
+    }
+    for (int r = 0; r < this->chosen.runners; ++r)
+    {
+        std::string id = "r" + two_digits(r + 1);
+        list.push_back({{"id", id}, {"role", "runner"},
+            {"domain", domain_name(r % this->chosen.domains)},
+            {"address", "http://" + this->runners_address + "/r/" + id},
+            {"service", this->chosen.service}, {"slots", this->chosen.slots},
+            {"connections", this->chosen.connections}});
+    }
+    return list;
+}
+
+std::string cell::add_relay(std::string const& name, std::string const& listen,
+    std::string const& target)
+{
+    for (json const& each : this->relays)
+    {
+        if (each["name"] == name)
+        {
+            return each["listen"];
+        }
+    }
+    this->relays.push_back(
+        {{"name", name}, {"listen", listen}, {"target", target}});
+    return listen;
+}
+
+/// Adds the address at which each failure domain reaches the instance.
+json cell::with_relays(json instance)
+{
+    std::string address = instance["address"];
+    std::string to = instance["domain"];
+    bool entry = instance["role"] == "entry";
+    std::string scheme = entry ? "" : "http://";
+    auto rest = address.find('/', scheme.size());
+    std::string path = rest == std::string::npos ? "" : address.substr(rest);
+    std::string target = address.substr(
+        scheme.size(), rest == std::string::npos ? rest : rest - scheme.size());
+    for (int from = 0; from < this->chosen.domains; ++from)
+    {
+        if (entry && domain_name(from) == to)
+        {
+            continue;
+        }
+        int third = relay_net + relay_step * from + (to[0] - 'a');
+        std::string what = instance[entry ? "id" : "role"];
+        std::string last = target.substr(target.rfind('.') + 1);
+        std::string listen = this->ip(third, 0);
+        listen.resize(listen.rfind('.') + 1);
+        std::string name = domain_name(from) + ">" + to + ":" + what;
+        instance["via"][domain_name(from)] =
+            scheme + this->add_relay(name, listen + last, target) + path;
+    }
+    return instance;
+}
+
+void cell::write(std::string const& name, std::string const& text) const
+{
+    std::ofstream(this->folder + "/" + name) << text;
+}
+
+void cell::write_settings()
+{
+    json list = this->instances();
+    if (this->chosen.relays)
+    {
+        for (json& each : list)
+        {
+            each = this->with_relays(each);
+        }
+    }
+    this->write("instances.json", list.dump());
+    for (int d = 0; d < this->chosen.domains; ++d)
+    {
+        std::string peers;
+        for (int e = 0; e < this->chosen.entries; ++e)
+        {
+            peers += "  - address: " + this->ip(d + 1, e + 1) + ":" +
+                     std::to_string(scheduler_port) + "\n";
+        }
+        std::string platform = this->platform_address;
+        if (this->chosen.relays)
+        {
+            platform = this->add_relay(domain_name(d) + ">platform",
+                this->ip(platform_net + d, 1) + ":7000",
+                this->ip(0, 1) + ":" + std::to_string(view_port + d));
+        }
+        for (int e = 0; e < this->chosen.entries; ++e)
+        {
+            std::string name = entry_name(d, e);
+            std::ostringstream common;
+            common << "name: " << name << "\nfailure_domain: " << domain_name(d)
+                   << "\nheartbeat_ms: " << this->chosen.heartbeat_ms << "\n";
+            std::ostringstream scheduler;
+            scheduler << common.str() << "address: " << this->ip(d + 1, e + 1)
+                      << ":" << scheduler_port
+                      << "\nplatform_address: " << platform
+                      << "\npeer_timeout_ms: " << this->chosen.peer_timeout_ms
+                      << "\ncontrol_lease_ms: " << this->chosen.control_lease_ms
+                      << "\ntask_lease_ms: " << this->chosen.task_lease_ms
+                      << "\nkeep_ended_s: " << this->chosen.keep_ended_s
+                      << "\nlease_margin_ms: 200\npeers:\n"
+                      << peers;
+            this->write("scheduler-" + name + ".yaml", scheduler.str());
+            std::ostringstream gateway;
+            gateway << common.str()
+                    << "http_address: " << this->ip(d + 1, e + 1) << ":"
+                    << gateway_port << "\nscheduler_timeout_ms: "
+                    << this->chosen.peer_timeout_ms << "\nschedulers:\n"
+                    << peers;
+            this->write("gateway-" + name + ".yaml", gateway.str());
+        }
+    }
+}
+
+void cell::start_platform()
+{
+    std::vector<std::string> command{this->bin + "/toucan-standin", "platform",
+        "--address", this->platform_address, "--instances",
+        this->folder + "/instances.json", "--config", this->chosen.config,
+        "--preset", this->chosen.preset, "--list-lag-ms",
+        std::to_string(this->chosen.list_lag_ms), "--writes-per-s",
+        std::to_string(this->chosen.writes_per_s), "--reads-per-s",
+        std::to_string(this->chosen.reads_per_s)};
+    for (int d = 0; this->chosen.relays && d < this->chosen.domains; ++d)
+    {
+        command.push_back("--view");
+        command.push_back(domain_name(d) + "=" + this->ip(0, 1) + ":" +
+                          std::to_string(view_port + d));
+    }
+    this->table.start("platform", command);
+}
+
+void cell::start_entry(int domain, int entry)
+{
+    std::string name = entry_name(domain, entry);
+    for (std::string const program : {"scheduler", "gateway"})
+    {
+        std::string process = program + "-" + name;
+        this->table.start(
+            process, {this->bin + "/toucan-" + program, "--settings",
+                         this->folder + "/" + process + ".yaml"});
+    }
+    this->gateway_addresses.push_back(
+        this->ip(domain + 1, entry + 1) + ":" + std::to_string(gateway_port));
+    this->gateway_names.push_back("gateway-" + name);
+}
+
+void cell::start()
+{
+    this->write_settings();
+    std::string standin = this->bin + "/toucan-standin";
+    std::string list = this->folder + "/instances.json";
+    this->start_platform();
+    this->table.start(
+        "workers", {standin, "workers", "--address", this->workers_address,
+                       "--instances", list});
+    this->table.start(
+        "runners", {standin, "runners", "--address", this->runners_address,
+                       "--instances", list});
+    if (this->chosen.relays)
+    {
+        this->write("relays.json", this->relays.dump());
+        this->table.start(
+            "relay", {standin, "relay", "--address", this->relay_address,
+                         "--instances", this->folder + "/relays.json"});
+    }
+    for (int d = 0; d < this->chosen.domains; ++d)
+    {
+        for (int e = 0; e < this->chosen.entries; ++e)
+        {
+            this->start_entry(d, e);
+        }
+    }
+    for (std::string const& address : this->gateway_addresses)
+    {
+        if (!wait_ready(address, ready_timeout_ms))
+        {
+            throw std::runtime_error("gateway " + address + " is not ready");
+        }
+    }
+}
+
+std::string cell::gateway(std::string const& process) const
+{
+    for (std::size_t i = 0; i < this->gateway_names.size(); ++i)
+    {
+        if (this->gateway_names[i] == process)
+        {
+            return this->gateway_addresses[i];
+        }
+    }
+    throw std::runtime_error("no such gateway: " + process);
+}
+
+bool cell::wait_ready(std::string const& address, int ms)
+{
+    auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (call("GET", "http://" + address + "/readyz", "", {}, 1000).status ==
+            200)
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(poll_ms));
+    }
+    return false;
+}
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenario/cell.hpp
@@ -0,0 +1,94 @@
+/// The cell of a scenario: its layout, its settings files and its processes.
+#pragma once
+
+#include "http.hpp"
+#include "process.hpp"
+
+#include <string>
+#include <vector>
+
+namespace scenario
+{
+
+/// What the `cell` mapping of a scenario may say.
+struct cell_options
+{
+    int domains = 3;
+    int entries = 2;
+    int workers = 12;
+    int rack_size = 4;
+    int runners = 6;
+    int slots = 8;
+    int connections = 64;
+    std::int64_t cpu_millis = 32000;
+    std::int64_t memory_bytes = std::int64_t(128) << 30;
+    std::int64_t accelerators = 0;
+    int list_lag_ms = 0;
+    int writes_per_s = 400;
+    int reads_per_s = 2000;
+    int task_lease_ms = 6000;
+    int keep_ended_s = 3600;
+    int control_lease_ms = 1500;
+    int peer_timeout_ms = 1200;
+    int heartbeat_ms = 200;
+    std::string service = "booking";
+    /// Lets everything between failure domains, and all calls to platform,
+    /// workers and runners, pass through relays.
+    bool relays = false;
+    std::string preset = "ordinary";
+    std::string config;
+};
+
+/// One running cell.
+class cell
+{
+public:
+    cell(cell_options options, std::string folder, std::string bin, int block);
+
+    /// Starts everything and waits until every gateway is ready.
+    void start();
+
+    std::string const& platform() const { return this->platform_address; }
+    std::string const& workers() const { return this->workers_address; }
+    std::string const& relay() const { return this->relay_address; }
+    std::string const& runners() const { return this->runners_address; }
+    std::vector<std::string> const& gateways() const
+    {
+        return this->gateway_addresses;
+    }
+    std::string gateway(std::string const& process) const;
+    process_table& processes() { return this->table; }
+    cell_options const& options() const { return this->chosen; }
+
+    /// Waits until a gateway answers 200 on /readyz; false after `ms`.
+    static bool wait_ready(std::string const& address, int ms);
+
+private:
+    std::string ip(int third, int fourth) const;
+    json instances() const;
+    json with_relays(json instance);
+    std::string add_relay(std::string const& name, std::string const& listen,
+        std::string const& target);
+    void write(std::string const& name, std::string const& text) const;
+    void write_settings();
+    void start_platform();
+    void start_entry(int domain, int entry);
+
+    cell_options chosen;
+    std::string folder;
+    std::string bin;
+    int block;
+    process_table table;
+    std::string platform_address;
+    std::string workers_address;
+    std::string runners_address;
+    std::string relay_address;
+    json relays = json::array();
+    std::vector<std::string> gateway_addresses;
+    std::vector<std::string> gateway_names;
+};
+
+/// Name of the n-th failure domain.
+std::string domain_name(int index);
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenario/checker.cpp
@@ -0,0 +1,246 @@
+#include "checker.hpp"
+
+#include <algorithm>
+#include <compare>
+#include <map>
+#include <set>
+
+namespace scenario
+{
+namespace
+{
+
+/// One start of a task on one worker.
+struct task_location
+{
+    std::string worker;
+    std::string task;
+
+    auto operator<=>(task_location const&) const = default;
+};
+
+/// Sums per worker and what runs where, replayed from the ledger.
+///
+/// What a frozen worker holds does not run while it is frozen, but counts
+/// against its capacity. Whatever has not ended when the worker is thawed
+/// runs on from then, and is judged as if it started there again.
+class ledger_replay
+{
+public:
+    ledger_replay(json const& ledger, std::vector<violation>& found)
+        : found(found)
+    {
+        for (json const& event : ledger["events"])
+        {
+            this->apply(event);
+        }
+    }
+
+    /// Starts of each job's tasks: job -> index -> count.
+    std::map<std::string, std::map<int, int>> starts;
+    std::map<std::string, int> successes;
+
+private:
+    void apply(json const& event)
+    {
+        std::string worker = event["worker"];
+        if (event["event"] == "frozen")
+        {
+            this->frozen.insert(worker);
+        }
+        else if (event["event"] == "thawed")
+        {
+            this->frozen.erase(worker);
+            this->judge_all_on(worker);
+        }
+        else if (event["event"] == "kept")
+        {
+            std::int64_t& noted = this->goes_on_from[place_of(event)];
+            noted = std::max(noted, event["ran_ms"].get<std::int64_t>());
+        }
+        else
+        {
+            this->apply_task(worker, event);
+        }
+    }
+
+    static std::string place_of(json const& event)
+    {
+        return event["job"].get<std::string>() + "#" +
+               std::to_string(event["index"].get<int>());
+    }
+
+    void apply_task(std::string const& worker, json const& event)
+    {
+        std::string job = event["job"];
+        int index = event["index"].get<int>();
+        std::string place = place_of(event);
+        task_location where{worker, event["task"]};
+        bool starts_now = event["event"] == "start";
+        this->account(where, event, starts_now ? 1 : -1);
+        if (!starts_now)
+        {
+            if (event.contains("made_ms"))
+            {
+                this->made[place].insert(event["made_ms"].get<std::int64_t>());
+            }
+            this->locations[place].erase(where);
+            this->successes[job] += event["event"] == "succeeded";
+            return;
+        }
+        ++this->starts[job][index];
+        this->locations[place].insert(where);
+        this->judge(place);
+        this->judge_beginning(place, event.value("from_ms", std::int64_t(0)));
+    }
+
+    /// A job goes on from a checkpoint that was made, and from none before the
+    /// last that its owner took note of. From a later one it may: the owner's
+    /// acknowledgement and the next start go to different workers, and the
+    /// start may be there first.
+    void judge_beginning(std::string const& place, std::int64_t from_ms)
+    {
+        bool was_made = from_ms == 0 || this->made[place].count(from_ms) > 0;
+        if (!was_made || from_ms < this->goes_on_from[place])
+        {
+            this->found.push_back(
+                {"kept-work", place + " begins at " + std::to_string(from_ms) +
+                                  " ms, its owner noted " +
+                                  std::to_string(this->goes_on_from[place])});
+        }
+    }
+
+    std::vector<violation>& found;
+    std::map<std::string, std::map<std::string, std::int64_t>> given;
+    std::map<std::string, std::set<task_location>> locations;
+    std::set<std::string> frozen;
+    /// By job and index, in milliseconds of work done.
+    std::map<std::string, std::int64_t> goes_on_from;
+    std::map<std::string, std::set<std::int64_t>> made;
+};
+
+void check_jobs(evidence const& all, std::vector<violation>& found)
+{
+    ledger_replay replay(all.workers, found);
+    std::set<std::string> marks_started;
+    std::map<std::string, std::set<std::string>> jobs_of_mark;
+    for (json const& event : all.workers["events"])
+    {
+        if (event["event"] == "start")
+        {
+            std::string mark = event.value("mark", "");
+            marks_started.insert(mark);
+            jobs_of_mark[mark].insert(event["job"].get<std::string>());
+        }
+    }
+    for (call_record const& call : all.calls)
+    {
+        if (call.what != "job")
+        {
+            continue;
+        }
+        bool started = marks_started.count(call.mark) > 0;
+        if (started && call.ran == "no" && call.job_id.empty() &&
+            !call.ever_unknown)
+        {
+            found.push_back({"not-run", call.mark + " ran"});
+        }
+        if (started && (call.state == "not-run" || call.state == "rejected"))
+        {
+            found.push_back({"not-run", call.job_id + " ran"});
+        }
+        if (call.keyed && jobs_of_mark[call.mark].size() > 1)
+        {
+            found.push_back({"at-most-once", call.mark + " became two jobs"});
+        }
+        if (!call.idempotent && !call.job_id.empty())
+        {
+            for (auto const& entry : replay.starts[call.job_id])
+            {
+                if (entry.second > 1)
+                {
+                    found.push_back(
+                        {"at-most-once", call.job_id + " ran twice"});
+                }
+            }
+        }
+        if (call.state == "succeeded" && replay.successes[call.job_id] == 0)
+        {
+            found.push_back({"truthful", call.job_id + " did not succeed"});
+        }
+    }
+}
+
+void check_requests(evidence const& all, std::vector<violation>& found)
+{
+    std::map<std::string, int> runs;
+    for (json const& request : all.runners["requests"])
+    {
+        ++runs[request["body"]];
+        if (request["busy"].get<int>() > request["slots"].get<int>())
+        {
+            found.push_back(
+                {"slots", request["runner"].get<std::string>() + " had " +
+                              std::to_string(request["busy"].get<int>()) +
+                              " requests at once"});
+        }
+    }
+    for (call_record const& call : all.calls)
+    {
+        if (call.what != "request")
+        {
+            continue;
+        }
+        int count = runs[call.mark];
+        if (count > 1)
+        {
+            found.push_back({"at-most-once",
+                call.mark + " ran " + std::to_string(count) + " times"});
+        }
+        if (call.ran == "no" && !call.ever_unknown && count > 0)
+        {
+            found.push_back({"not-run", call.mark + " ran"});
+        }
+        bool answered = call.last_status == 200;
+        if (answered && call.answer != "confirmed:" + call.mark)
+        {
+            found.push_back({"answers", call.mark + " got " + call.answer});
+        }
+    }
+}
+
+void check_revisions(evidence const& all, std::vector<violation>& found)
+{
+    std::map<std::string, std::int64_t> highest;
+    std::map<std::int64_t, std::string> preset_of;
+    for (revision_sample const& sample : all.revisions)
+    {
+        std::int64_t& seen = highest[sample.gateway];
+        if (sample.revision < seen)
+        {
+            found.push_back({"preset",
+                sample.gateway + " went back from " + std::to_string(seen)});
+        }
+        seen = std::max(seen, sample.revision);
+        auto known = preset_of.emplace(sample.revision, sample.preset).first;
+        if (known->second != sample.preset)
+        {
+            found.push_back({"preset",
+                "revision " + std::to_string(sample.revision) + " is both " +
+                    known->second + " and " + sample.preset});
+        }
+    }
+}
+
+} // namespace
+
+std::vector<violation> check(evidence const& all)
+{
+    std::vector<violation> found;
+    check_jobs(all, found);
+    check_requests(all, found);
+    check_revisions(all, found);
+    return found;
+}
+
+} // namespace scenario
--- /dev/null
+++ b/tests/scenario/runner.cpp
@@ -0,0 +1,623 @@
+#include "runner.hpp"
+
+#include "address_block.hpp"
+#include "cell_reader.hpp"
+#include "yaml_get.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <pcg_random.hpp>
+
+namespace scenario
+{
+namespace
+{
+
+constexpr int default_wait_s = 60;
+constexpr int poll_ms = 50;
+constexpr int revision_poll_ms = 100;
+
+json to_json(YAML::Node const& node)
+{
+    json out = json::object();
+    for (auto const& entry : node)
+    {
+        std::string text = entry.second.as<std::string>();
+        json parsed = json::parse(text, nullptr, false);
+        out[entry.first.as<std::string>()] =
+            parsed.is_number() || parsed.is_boolean() ? parsed : json(text);
+    }
+    return out;
+}
+
+void pause_ms(int ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+} // namespace
+
+runner::runner(run_options options)
+    : options(std::move(options))
+    , random_state(this->options.seed)
+{
+}
+
+runner::~runner()
+{
+    this->stopping = true;
+    if (this->poller.joinable())
+    {
+        this->poller.join();
+    }
+}
+
+int runner::run()
+{
+    YAML::Node file = YAML::LoadFile(this->options.file);
+    this->name = file["name"].as<std::string>();
+    std::string pattern = "/tmp/toucan-scenario-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    std::string beside =
+        std::filesystem::path(this->options.file).parent_path().string();
+    int block = take_address_block();
+    this->target = std::make_unique<cell>(
+        read_cell(file["cell"], beside.empty() ? "." : beside), this->folder,
+        this->options.bin, block);
+    this->people = std::make_unique<callers>(*this->target, this->options.seed);
+    try
+    {
+        this->target->start();
+        this->switch_off(this->options.without);
+        this->poller = std::thread([this] { this->poll_revisions(); });
+        for (YAML::Node const& step : file["steps"])
+        {
+            this->step(step);
+        }
+        this->people->join();
+    }
+    catch (std::exception const& problem)
+    {
+        this->fail(problem.what());
+    }
+    return this->finish();
+}
+
+void runner::switch_off(std::string const& mechanism)
+{
+    if (mechanism == "checks")
+    {
+        admin(this->target->platform(), "/admin/fault",
+            {{"mode", "ignore-checks"}});
+    }
+    if (mechanism == "leases")
+    {
+        admin(this->target->workers(), "/admin/fault", {{"fault", "lawless"}});
+    }
+    if (mechanism == "checkpoints")
+    {
+        admin(
+            this->target->workers(), "/admin/fault", {{"fault", "forgetful"}});
+    }
+    if (mechanism == "capacity")
+    {
+        admin(this->target->workers(), "/admin/fault", {{"fault", "unguard"}});
+    }
+}
+
+void runner::step(YAML::Node const& step)
+{
+    for (auto const& entry : step)
+    {
+        std::string verb = entry.first.as<std::string>();
+        auto begin = std::chrono::steady_clock::now();
+        this->do_step(verb, entry.second);
+        if (this->options.verbose)
+        {
+            std::chrono::duration<double> took =
+                std::chrono::steady_clock::now() - begin;
+            std::cout << "step=" << verb << " took_s=" << took.count()
+                      << std::endl;
+        }
+    }
+}
+
+void runner::do_step(std::string const& verb, YAML::Node const& argument)
+{
+    if (verb == "submit")
+    {
+        this->calls(argument, "job");
+    }
+    else if (verb == "request")
+    {
+        this->calls(argument, "request");
+    }
+    else if (verb == "join")
+    {
+        this->people->join();
+    }
+    else if (verb == "kill")
+    {
+        this->target->processes().signal(
+            this->pick_process(argument.as<std::string>()), SIGKILL);
+    }
+    else if (verb == "restart")
+    {
+        this->restart(argument.as<std::string>());
+    }
+    else if (verb == "stop")
+    {
+        std::string process = this->pick_process(argument.as<std::string>());
+        this->target->processes().signal(process, SIGTERM);
+        int code = this->target->processes().wait(process);
+        if (code != 0)
+        {
+            this->fail(process + " ended with " + std::to_string(code));
+        }
+    }
+    else if (verb == "freeze")
+    {
+        this->target->processes().signal(
+            this->pick_process(argument.as<std::string>()), SIGSTOP);
+    }
+    else if (verb == "thaw")
+    {
+        this->target->processes().signal(
+            this->pick_process(argument.as<std::string>()), SIGCONT);
+    }
+    else if (verb == "pause-ms")
+    {
+        pause_ms(argument.as<int>());
+    }
+    else if (verb == "store")
+    {
+        json body = to_json(argument);
+        admin(this->target->platform(), "/admin/fault", body);
+    }
+    else if (verb == "instances")
+    {
+        admin(this->target->platform(), "/admin/instances", to_json(argument));
+    }
+    else if (verb == "worker")
+    {
+        admin(this->target->workers(), "/admin/fault", to_json(argument));
+    }
+    else if (verb == "runner")
+    {
+        admin(this->target->runners(), "/admin/fault", to_json(argument));
+    }
+    else if (verb == "network")
+    {
+        admin(this->target->relay(), "/admin/fault", to_json(argument));
+    }
+    else if (verb == "storm")
+    {
+        this->storm(argument);
+    }
+    else if (verb == "ctl")
+    {
+        this->ctl(argument.as<std::string>());
+    }
+    else if (verb == "usage")
+    {
+        this->measures.show(*this->target);
+    }
+    else if (verb == "show-packing")
+    {
+        usage_report::show_packing(*this->target);
+    }
+    else if (verb == "cancel")
+    {
+        this->people->cancel(argument["label"].as<std::string>(),
+            get<std::string>(argument, "token", "strekbod-example-token"));
+    }
+    else if (verb == "switch-preset")
+    {
+        this->switch_preset(argument);
+    }
+    else if (verb == "wait-until")
+    {
+        this->wait_until(argument);
+    }
+    else if (verb == "expect")
+    {
+        this->expect(argument);
+    }
+    else if (verb == "expect-preset")
+    {
+        this->expect_preset(argument);
+    }
+    else
+    {
+        throw std::runtime_error("unknown step: " + verb);
+    }
+}
+
+std::string runner::pick_process(std::string const& pattern)
+{
+    if (pattern.find('*') == std::string::npos)
+    {
+        return pattern;
+    }
+    std::string prefix = pattern.substr(0, pattern.find('*'));
+    std::vector<std::string> fitting;
+    for (std::string const& each : this->target->processes().names())
+    {
+        if (each.rfind(prefix, 0) == 0)
+        {
+            fitting.push_back(each);
+        }
+    }
+    pcg32 random(this->random_state++);
+    return fitting.at(random(static_cast<std::uint32_t>(fitting.size())));
+}
+
+void runner::calls(YAML::Node const& argument, std::string const& what)
+{
+    call_group group;
+    group.label = argument["label"].as<std::string>();
+    group.what = what;
+    group.token = get<std::string>(argument, "token", "strekbod-example-token");
+    group.count = get(argument, "count", 1);
+    group.threads = get(argument, "threads", group.threads);
+    group.keyed = get(argument, "keyed", true);
+    group.service = this->target->options().service;
+    group.run_ms = get(argument, "run_ms", group.run_ms);
+    group.rate_per_s = get(argument, "rate_per_s", group.rate_per_s);
+    group.patience_ms = get(argument, "patience_ms", group.patience_ms);
+    group.call_timeout_ms =
+        get(argument, "call_timeout_ms", group.call_timeout_ms);
+    group.via = get<std::string>(argument, "via", "");
+    if (argument["job"])
+    {
+        group.job = to_json(argument["job"]);
+    }
+    if (get(argument, "background", false))
+    {
+        this->people->run_in_background(group);
+        return;
+    }
+    this->people->run(group);
+}
+
+/// A seeded run of faults; each is undone before the next but one.
+void runner::storm(YAML::Node const& argument)
+{
+    constexpr int fault_kinds = 8;
+    int faults = get(argument, "faults", 10);
+    int gap_ms = get(argument, "gap_ms", 700);
+    pcg32 random(this->options.seed, 54);
+    for (int i = 0; i < faults; ++i)
+    {
+        this->strike(static_cast<int>(random(fault_kinds)));
+        pause_ms(gap_ms + static_cast<int>(random(gap_ms)));
+    }
+}
+
+void runner::strike(int kind)
+{
+    std::string worker = "w0" + std::to_string(1 + this->random_state++ % 8);
+    std::string scheduler = this->pick_process("scheduler-*");
+    std::string gateway = this->pick_process("gateway-*");
+    process_table& processes = this->target->processes();
+    auto tell = [](std::string const& address, json const& body)
+    { admin(address, "/admin/fault", body); };
+    switch (kind)
+    {
+    case 0:
+        processes.signal(scheduler, SIGKILL);
+        processes.restart(scheduler);
+        break;
+    case 1:
+        processes.signal(gateway, SIGKILL);
+        processes.restart(gateway);
+        break;
+    case 2:
+        processes.signal(scheduler, SIGSTOP);
+        pause_ms(3000);
+        processes.signal(scheduler, SIGCONT);
+        break;
+    case 3:
+        tell(this->target->workers(),
+            {{"worker", worker}, {"fault", "restart"}});
+        break;
+    case 4:
+        tell(this->target->workers(), {{"worker", worker}, {"fault", "cut"}});
+        pause_ms(2000);
+        tell(this->target->workers(), {{"worker", worker}, {"fault", "heal"}});
+        break;
+    case 5:
+        tell(this->target->platform(), {{"mode", "down"}});
+        pause_ms(2000);
+        tell(this->target->platform(), {{"mode", "up"}});
+        break;
+    case 6:
+        tell(
+            this->target->platform(), {{"mode", "lose-answers"}, {"count", 5}});
+        pause_ms(1500);
+        tell(this->target->platform(), {{"mode", "up"}});
+        break;
+    default:
+        tell(
+            this->target->workers(), {{"worker", worker}, {"fault", "freeze"}});
+        pause_ms(2500);
+        tell(this->target->workers(), {{"worker", worker}, {"fault", "thaw"}});
+    }
+}
+
+/// Runs toucanctl as a person would and shows what it prints.
+void runner::ctl(std::string const& words)
+{
+    std::string command = this->options.bin + "/toucanctl --gateway " +
+                          this->target->gateways().front() + " --token " +
+                          operator_token + " " + words;
+    std::cout << "\n$ toucanctl " << words << std::endl;
+    if (std::system(command.c_str()) != 0)
+    {
+        this->fail("toucanctl " + words + " failed");
+    }
+}
+
+void runner::restart(std::string const& name)
+{
+    this->target->processes().restart(name);
+}
+
+void runner::switch_preset(YAML::Node const& argument)
+{
+    std::string gateway = this->target->gateways().front();
+    if (argument["via"])
+    {
+        gateway = this->target->gateway(argument["via"].as<std::string>());
+    }
+    json body{{"preset", argument["to"].as<std::string>()},
+        {"author", get<std::string>(argument, "author", "scenario")}};
+    if (argument["base_revision"])
+    {
+        body["base_revision"] = argument["base_revision"].as<int>();
+    }
+    reply got = call("POST", "http://" + gateway + "/v1/operator/preset",
+        body.dump(),
+        {{"Authorization", std::string("Bearer ") + operator_token}}, 10000);
+    int wanted = get(argument, "status", 200);
+    if (wanted != 0 && got.status != wanted)
+    {
+        this->fail("switch-preset answered " + std::to_string(got.status) +
+                   " " + got.body);
+    }
+}
+
+void runner::wait_until(YAML::Node const& argument)
+{
+    int within_ms = get(argument, "within_s", default_wait_s) * 1000;
+    if (argument["ended"])
+    {
+        std::string label = argument["ended"].as<std::string>();
+        if (!this->people->follow(label == "all" ? "" : label, within_ms))
+        {
+            this->fail("jobs " + label + " have not all ended");
+        }
+        return;
+    }
+    auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(within_ms);
+    while (std::chrono::steady_clock::now() < until)
+    {
+        if (argument["ready"] &&
+            cell::wait_ready(
+                this->target->gateway(argument["ready"].as<std::string>()),
+                1000))
+        {
+            return;
+        }
+        if (argument["rows"] &&
+            this->count_rows(argument["rows"].as<std::string>()) <=
+                static_cast<std::size_t>(get(argument, "at_most", 0)))
+        {
+            return;
+        }
+        if (argument["running"] &&
+            this->count_events("start", argument["running"].as<std::string>() +
+                                            "-") >= get(argument, "count", 1))
+        {
+            return;
+        }
+        if (argument["kept"] &&
+            this->count_events("kept", "") >= get(argument, "kept", 1))
+        {
+            return;
+        }
+        pause_ms(poll_ms);
+    }
+    this->fail("wait-until was not reached in time");
+}
+
+/// Events of that kind in the workers' ledger, of jobs whose marks begin so.
+int runner::count_events(std::string const& what, std::string const& mark)
+{
+    json ledger = call("GET",
+        "http://" + this->target->workers() + "/admin/ledger", "", {}, 10000)
+                      .parsed();
+    int count = 0;
+    for (json const& event : ledger["events"])
+    {
+        count += event["event"] == what &&
+                 event.value("mark", "").rfind(mark, 0) == 0;
+    }
+    return count;
+}
+
+/// Rows of the table service whose keys begin so.
+std::size_t runner::count_rows(std::string const& prefix)
+{
+    json found = call("GET",
+        "http://" + this->target->platform() +
+            "/v1/rows?limit=1000000&prefix=" + prefix,
+        "", {}, 10000)
+                     .parsed();
+    if (!found.contains("rows"))
+    {
+        return std::string::npos;
+    }
+    return found["rows"].size();
+}
+
+void runner::expect(YAML::Node const& argument)
+{
+    std::string label = argument["label"].as<std::string>();
+    auto counts = this->people->tally(label);
+    for (auto const& entry : argument)
+    {
+        std::string key = entry.first.as<std::string>();
+        if (key == "label")
+        {
+            continue;
+        }
+        std::string text = entry.second.as<std::string>();
+        bool at_least = text.rfind(">=", 0) == 0;
+        int wanted = std::atoi(text.c_str() + (at_least ? 2 : 0));
+        int got = counts[key];
+        bool holds = at_least ? got >= wanted : got == wanted;
+        if (!holds)
+        {
+            this->fail("expected " + text + " of " + label + " to be " + key +
+                       ", found " + std::to_string(got));
+        }
+    }
+}
+
+void runner::expect_preset(YAML::Node const& argument)
+{
+    std::string wanted = argument["name"].as<std::string>();
+    int within_ms = get(argument, "within_ms", 3000);
+    auto until =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(within_ms);
+    std::size_t in_force = 0;
+    do
+    {
+        in_force = 0;
+        for (std::string const& gateway : this->target->gateways())
+        {
+            json config = call("GET",
+                "http://" + gateway + "/v1/operator/config", "",
+                {{"Authorization", std::string("Bearer ") + operator_token}},
+                1000)
+                              .parsed();
+            in_force += config.value("preset", "") == wanted;
+        }
+        if (in_force == this->target->gateways().size())
+        {
+            return;
+        }
+        pause_ms(poll_ms);
+    } while (std::chrono::steady_clock::now() < until);
+    this->fail("preset " + wanted + " is in force at " +
+               std::to_string(in_force) + " gateways only");
+}
+
+void runner::poll_revisions()
+{
+    while (!this->stopping)
+    {
+        for (std::string const& gateway : this->target->gateways())
+        {
+            json config = call("GET",
+                "http://" + gateway + "/v1/operator/config", "",
+                {{"Authorization", std::string("Bearer ") + operator_token}},
+                1000)
+                              .parsed();
+            if (config.contains("revision"))
+            {
+                this->revisions.push_back(
+                    {gateway, config["revision"].get<std::int64_t>(),
+                        config.value("preset", "")});
+            }
+        }
+        pause_ms(revision_poll_ms);
+    }
+}
+
+void runner::fail(std::string const& what)
+{
+    this->failures.push_back(what);
+    std::cout << "failure: " << what << std::endl;
+}
+
+void runner::report_waits() const
+{
+    std::map<std::string, std::vector<double>> waits;
+    for (call_record const& each : this->people->records())
+    {
+        if (each.waited_ms >= 0)
+        {
+            waits[each.label].push_back(static_cast<double>(each.waited_ms));
+        }
+        std::string call = each.what == "request" ? "" : "/accepted";
+        waits[each.label + call].push_back(each.took_ms);
+    }
+    for (auto& entry : waits)
+    {
+        auto& list = entry.second;
+        std::sort(list.begin(), list.end());
+        std::cout << "waits label=" << entry.first << " count=" << list.size()
+                  << " p50_ms=" << list[list.size() / 2]
+                  << " p99_ms=" << list[list.size() * 99 / 100]
+                  << " max_ms=" << list.back() << std::endl;
+    }
+}
+
+int runner::finish()
+{
+    this->stopping = true;
+    if (this->poller.joinable())
+    {
+        this->poller.join();
+    }
+    evidence all;
+    all.calls = this->people->records();
+    all.revisions = this->revisions;
+    all.workers = call("GET",
+        "http://" + this->target->workers() + "/admin/ledger", "", {}, 30000)
+                      .parsed();
+    all.runners = call("GET",
+        "http://" + this->target->runners() + "/admin/ledger", "", {}, 30000)
+                      .parsed();
+    if (!all.workers.contains("events") || !all.runners.contains("requests"))
+    {
+        this->fail("a ledger cannot be read");
+    }
+    std::vector<violation> broken;
+    if (this->failures.empty() || all.workers.contains("events"))
+    {
+        broken = check(all);
+    }
+    for (violation const& each : broken)
+    {
+        std::cout << "violation promise=" << each.promise << " detail=\""
+                  << each.detail << "\"" << std::endl;
+    }
+    this->report_waits();
+    json stats = call("GET",
+        "http://" + this->target->platform() + "/admin/stats", "", {}, 10000)
+                     .parsed();
+    std::cout << "platform " << stats.dump() << std::endl;
+    bool passed = broken.empty() && this->failures.empty();
+    if (passed && !this->options.keep)
+    {
+        this->target.reset();
+        std::filesystem::remove_all(this->folder);
+    }
+    else
+    {
+        std::cout << "logs " << this->folder << std::endl;
+    }
+    std::cout << "scenario=" << this->name << " seed=" << this->options.seed
+              << " result=" << (passed ? "pass" : "fail")
+              << " violations=" << broken.size() << std::endl;
+    return passed ? 0 : 1;
+}
+
+} // namespace scenario
--- /dev/null
+++ b/tests/standin/relay_role.hpp
@@ -0,0 +1,49 @@
+/// Stand-in for the network between failure domains: TCP relays that can be
+/// cut, go silent for good on the connections of that moment, or slow down.
+#pragma once
+
+#include "role.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+class relay_connection;
+
+/// One listening address and where it leads.
+struct relay_path
+{
+    std::string name;
+    std::string target;
+    bool cut = false;
+    std::unique_ptr<class relay_acceptor> acceptor;
+    std::vector<std::shared_ptr<relay_connection>> connections;
+};
+
+/// All relays of one process.
+class relay_role final : public toucanlever::http_handler
+{
+public:
+    /// `file` is a JSON list of {"name","listen","target"}.
+    relay_role(toucanlever::event_loop& loop, std::string const& address,
+        std::string const& file);
+    ~relay_role() override;
+
+    void on_request(toucanlever::http_request request,
+        std::shared_ptr<toucanlever::http_exchange> exchange) override;
+
+    void accepted(relay_path& path, int socket);
+
+private:
+    void apply(relay_path& path, std::string const& fault);
+
+    toucanlever::event_loop& loop;
+    std::vector<std::unique_ptr<relay_path>> paths;
+    toucanlever::http_server server;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/standin/workers_role.hpp
@@ -0,0 +1,143 @@
+/// Stand-in for workers: many in one process, each below /w/{id}.
+///
+/// A worker grants control to one scheduler at a time, starts each task id
+/// once, stops tasks whose lease lapses, and keeps a ledger of every start
+/// and end, which the invariant checker reads.
+#pragma once
+
+#include "role.hpp"
+
+#include "toucanlever/core/resources.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace standin
+{
+
+/// One task on a worker.
+struct worker_task
+{
+    std::string id;
+    std::string job_id;
+    std::string owner;
+    std::uint32_t attempt = 0;
+    std::uint32_t index = 0;
+    toucanlever::resources need;
+    std::string state = "running";
+    std::string result;
+    std::string reason;
+    std::string record;
+    /// The owner's version when it last changed.
+    std::int64_t changed = 0;
+    std::int64_t lease_until_ms = 0;
+    std::int64_t ends_at_ms = 0;
+    bool fails = false;
+    /// Work done by earlier attempts, and when this one began.
+    std::int64_t from_ms = 0;
+    std::int64_t began_ms = 0;
+    /// When its checkpoint is made and it stops; 0 for never.
+    std::int64_t stops_at_ms = 0;
+    std::int64_t checkpoint_ran_ms = 0;
+    /// Once it is made.
+    std::string checkpoint;
+};
+
+/// A follow call that waits for news.
+struct waiting_follow
+{
+    std::string owner;
+    std::int64_t version = 0;
+    /// Version that the caller knows all of; 0 for none.
+    std::int64_t known = 0;
+    std::int64_t until_ms = 0;
+    exchange_ptr exchange;
+};
+
+/// One worker.
+struct simulated_worker
+{
+    std::string id;
+    std::string incarnation;
+    toucanlever::resources capacity;
+    std::int64_t epoch = 0;
+    std::string holder;
+    std::int64_t control_until_ms = 0;
+    std::int64_t control_lease_ms = 0;
+    std::map<std::string, worker_task> tasks;
+    std::set<std::string> refused;
+    std::set<std::string> fenced;
+    std::map<std::string, std::int64_t> versions;
+    std::vector<waiting_follow> waiting;
+    /// Answers nothing while set; tasks and leases go on.
+    bool cut = false;
+    /// Nothing happens at all while set.
+    bool frozen = false;
+    bool fails_all = false;
+    int restarts = 0;
+    /// Switches the check of capacity off, to show the checker fail.
+    bool unguarded = false;
+    /// Switches leases, epochs and fences off, for the same purpose.
+    bool lawless = false;
+    /// Begins every task at its beginning, for the same purpose.
+    bool forgetful = false;
+};
+
+/// All workers of one process.
+class workers_role final : public toucanlever::http_handler
+{
+public:
+    workers_role(toucanlever::event_loop& loop, std::string const& address,
+        std::string const& instances_file);
+
+    void on_request(toucanlever::http_request request,
+        std::shared_ptr<toucanlever::http_exchange> exchange) override;
+
+private:
+    void tick();
+    void end_due_tasks(simulated_worker& worker);
+    void set_frozen(simulated_worker& worker, bool frozen);
+    void serve(simulated_worker& worker, std::string const& verb,
+        json const& body, exchange_ptr const& exchange);
+    void acquire(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void renew(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void release(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void start(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    std::string refusal(simulated_worker const& worker, json const& body) const;
+    void begin_task(simulated_worker& worker, json const& body);
+    void stop(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void follow(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void fence(simulated_worker& worker, json const& body,
+        exchange_ptr const& exchange);
+    void begin_checkpoint(worker_task& task) const;
+    void end_task(simulated_worker& worker, worker_task& task,
+        std::string const& state, std::string const& reason);
+    void record_ack(simulated_worker const& worker, worker_task const& task);
+    void answer_followers(simulated_worker& worker);
+    json tasks_of(simulated_worker const& worker, std::string const& owner,
+        std::int64_t version, std::int64_t known) const;
+    static void note_change(simulated_worker& worker, worker_task& task);
+    json grant(simulated_worker const& worker) const;
+    void admin(
+        toucanlever::http_request const& request, exchange_ptr const& exchange);
+    void restart(simulated_worker& worker);
+    void record(simulated_worker const& worker, worker_task const& task,
+        std::string const& event);
+
+    toucanlever::event_loop& loop;
+    std::map<std::string, simulated_worker> workers;
+    std::vector<std::pair<simulated_worker*, exchange_ptr>> held;
+    json ledger = json::array();
+    std::int64_t calls = 0;
+    toucanlever::http_server server;
+};
+
+} // namespace standin
--- /dev/null
+++ b/tests/unit/http_platform.tests.cpp
@@ -0,0 +1,115 @@
+#include "toucanlever/platform/http_platform.hpp"
+
+#include "toucanlever/http/server.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <thread>
+
+using namespace toucanlever;
+
+namespace
+{
+
+constexpr int max_polls = 20000;
+
+/// Answers with a list of `instances` entries under the tag that a test sets.
+class list_handler final : public http_handler
+{
+public:
+    void on_request(
+        http_request request, std::shared_ptr<http_exchange> exchange) override
+    {
+        http_response response;
+        if (!this->tag.empty())
+        {
+            response.headers.push_back({"ETag", this->tag});
+        }
+        bool known = find_field(request.headers, "If-None-Match") == this->tag;
+        if (known && !this->tag.empty())
+        {
+            ++this->not_modified;
+            response.status = 304;
+            exchange->answer(std::move(response));
+            return;
+        }
+        std::vector<instance> list(this->instances);
+        response.body = nlohmann::json{{"instances", list}}.dump();
+        exchange->answer(std::move(response));
+    }
+
+    std::size_t instances = 2;
+    std::string tag = "\"one\"";
+    int not_modified = 0;
+};
+
+class platform_bench
+{
+public:
+    explicit platform_bench(std::string const& address)
+        : server(this->loop, address, this->handler, http_limits{})
+        , platform(this->client, address, milliseconds(5000))
+    {
+    }
+
+    instance_list list()
+    {
+        instance_list got;
+        bool answered = false;
+        this->platform.list(
+            [&got, &answered](instance_list const& fresh)
+            {
+                got = fresh;
+                answered = true;
+            });
+        for (int i = 0; i < max_polls && !answered; ++i)
+        {
+            this->loop.run_ready();
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return got;
+    }
+
+    steady_clock time;
+    event_loop loop{this->time};
+    list_handler handler;
+    http_server server;
+    http_client client{this->loop};
+    http_platform platform;
+};
+
+} // namespace
+
+Test(http_platform, gives_the_same_list_again_while_its_tag_stands)
+{
+    platform_bench bench("127.78.1.1:7990");
+
+    auto first = bench.list();
+    auto second = bench.list();
+
+    cr_assert(eq(sz, first->size(), 2));
+    cr_assert(first == second);
+    cr_assert(eq(int, bench.handler.not_modified, 1));
+}
+
+Test(http_platform, reads_the_list_again_when_its_tag_has_changed)
+{
+    platform_bench bench("127.78.1.2:7990");
+
+    bench.list();
+    bench.handler.tag = "\"two\"";
+    bench.handler.instances = 3;
+
+    cr_assert(eq(sz, bench.list()->size(), 3));
+}
+
+Test(http_platform, asks_for_a_list_without_a_tag_whole_each_time)
+{
+    platform_bench bench("127.78.1.3:7990");
+    bench.handler.tag.clear();
+
+    bench.list();
+    bench.handler.instances = 3;
+
+    cr_assert(eq(sz, bench.list()->size(), 3));
+}
--- /dev/null
+++ b/tests/unit/permits.tests.cpp
@@ -0,0 +1,146 @@
+#include "toucanlever/control/permit_controller.hpp"
+
+#include "gateway/retry_budget.hpp"
+#include "toucanlever/core/ids.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+constexpr milliseconds lease{6000};
+constexpr std::uint32_t slots = 8;
+
+class permit_bench
+{
+public:
+    void pass(milliseconds span)
+    {
+        for (auto done = milliseconds(0); done < span;
+             done += milliseconds(200))
+        {
+            this->time.advance(milliseconds(200));
+            this->grantor.tick();
+        }
+    }
+
+    std::uint32_t ask(
+        std::string const& gateway, std::uint32_t held, std::uint32_t wanted)
+    {
+        return this->grantor
+            .grant({gateway, "r01", held, wanted}, "s1", slots, lease)
+            .granted;
+    }
+
+    void settle()
+    {
+        this->ask("nobody", 0, 0);
+        this->pass(milliseconds(10000));
+    }
+
+    manual_clock time;
+    permit_controller grantor{
+        this->time, "s1", milliseconds(2500), milliseconds(500)};
+};
+
+} // namespace
+
+Test(permits, a_fresh_grantor_renews_but_gives_nothing_new_for_a_lease)
+{
+    permit_bench bench;
+    cr_assert(bench.ask("g1", 3, 2) == 3U);
+    bench.pass(milliseconds(5000));
+    cr_assert(bench.ask("g2", 0, 2) == 0U);
+    bench.pass(milliseconds(5000));
+    cr_assert(bench.ask("g2", 0, 2) == 2U);
+}
+
+Test(permits, the_sum_over_gateways_never_passes_the_slots)
+{
+    permit_bench bench;
+    bench.settle();
+    std::uint32_t sum = 0;
+    for (char const* gateway : {"g1", "g2", "g3", "g4", "g5", "g6"})
+    {
+        sum += bench.ask(gateway, 0, 3);
+    }
+    cr_assert(sum == slots);
+}
+
+Test(permits, a_dead_gateways_permits_come_back_after_its_lease)
+{
+    permit_bench bench;
+    bench.settle();
+    cr_assert(bench.ask("g1", 0, 8) == 8U);
+    bench.pass(lease);
+    cr_assert(bench.ask("g2", 0, 8) == 0U);
+    bench.pass(milliseconds(1000));
+    cr_assert(bench.ask("g2", 0, 8) == 8U);
+}
+
+Test(permits, a_paused_grantor_starts_over)
+{
+    permit_bench bench;
+    bench.settle();
+    cr_assert(bench.ask("g1", 0, 2) == 2U);
+    bench.time.advance(milliseconds(20000));
+    cr_assert(bench.ask("g2", 0, 8) == 0U);
+}
+
+Test(permits, permits_given_back_are_free_at_once)
+{
+    permit_bench bench;
+    bench.settle();
+    bench.ask("g1", 0, 8);
+    bench.ask("g1", 1, 0);
+    cr_assert(bench.ask("g2", 0, 8) == 7U);
+}
+
+Test(retry_budget, retries_are_a_part_of_the_requests)
+{
+    retry_budget budget(10);
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        budget.on_request();
+        taken += budget.take_retry() ? 1 : 0;
+    }
+    cr_assert(taken >= 100);
+    cr_assert(taken <= 110);
+}
+
+Test(ids, racks_are_shared_evenly_and_move_little)
+{
+    std::set<std::string> racks;
+    for (int i = 0; i < 100; ++i)
+    {
+        racks.insert("rack-" + std::to_string(i));
+    }
+    auto before = assign_evenly(racks, {"s1", "s2", "s3", "s4"});
+    auto after = assign_evenly(racks, {"s1", "s2", "s3"});
+    std::map<std::string, int> counts;
+    int moved = 0;
+    for (auto const& entry : before)
+    {
+        ++counts[entry.second];
+        moved += entry.second != "s4" && after[entry.first] != entry.second;
+    }
+    for (auto const& entry : counts)
+    {
+        cr_assert(entry.second <= 25);
+    }
+    cr_assert(moved <= 25);
+}
+
+Test(ids, a_job_id_names_the_incarnation_that_accepted_it)
+{
+    std::string incarnation = make_incarnation("north", "n-1");
+    std::string id = make_job_id(incarnation, 7);
+    cr_assert(incarnation_of_job(id) == incarnation);
+    cr_assert(domain_of_incarnation(incarnation) == "north");
+    cr_assert(name_of_incarnation(incarnation) == "n-1");
+    cr_assert(incarnation_of_job("../../etc").empty());
+}
