--- a/tests/scenario/checker.cpp
+++ b/tests/scenario/checker.cpp
@@ -110,7 +110,59 @@
         }
     }
 
+    /// Adds (sign 1) or takes away (sign -1) what the task needs.
+    void account(task_location const& where, json const& event, int sign)
+    {
+        for (auto const& need : event["need"].items())
+        {
+            std::int64_t& sum = this->given[where.worker][need.key()];
+            sum += sign * need.value().get<std::int64_t>();
+            std::int64_t capacity =
+                event["capacity"][need.key()].get<std::int64_t>();
+            if (sign > 0 && sum > capacity)
+            {
+                this->found.push_back({"capacity",
+                    where.worker + " has given " + std::to_string(sum) +
+                        " of " + std::to_string(capacity) + " " + need.key()});
+            }
+        }
+    }
+
+    /// A task runs on at most one worker that is not frozen.
+    void judge(std::string const& place)
+    {
+        std::string running;
+        int count = 0;
+        for (task_location const& each : this->locations[place])
+        {
+            if (this->frozen.count(each.worker) == 0)
+            {
+                running += " " + each.worker + "/" + each.task;
+                ++count;
+            }
+        }
+        if (count > 1)
+        {
+            this->found.push_back({"one-place", place + " runs at" + running});
+        }
+    }
+
+    void judge_all_on(std::string const& worker)
+    {
+        for (auto const& entry : this->locations)
+        {
+            bool here = std::any_of(entry.second.begin(), entry.second.end(),
+                [&worker](task_location const& each)
+                { return each.worker == worker; });
+            if (here)
+            {
+                this->judge(entry.first);
+            }
+        }
+    }
+
     std::vector<violation>& found;
+    /// By worker and dimension of its capacity.
     std::map<std::string, std::map<std::string, std::int64_t>> given;
     std::map<std::string, std::set<task_location>> locations;
     std::set<std::string> frozen;
