Urgent work gets room on workers that changed hands

Nobody who controls a worker then owns what runs there: the new controllers could stop nothing, and the owner, which could, controlled no worker. Every join of a scheduler under load does the same, so it is not a fault of the start alone.

Change: heartbeats carry what a scheduler could stop on workers that it does not control; a controller with urgent work and nothing of its own to stop sets such a worker aside for 2 s and asks the owner to stop what is missing (room_request). Repeats stop nothing more. Tasks that were taken over, and tasks on workers whose control came back, can be stopped, too. Where nothing else helps, workers set aside for passed-over jobs give way to urgent work.

Only urgent jobs of one task ask; gangs do not.

--- a/include/toucanlever/control/placement_controller.hpp
+++ b/include/toucanlever/control/placement_controller.hpp
@@ -4,6 +4,7 @@
 
 #include "toucanlever/control/configuration_controller.hpp"
 #include "toucanlever/control/job_record.hpp"
+#include "toucanlever/control/stoppable_jobs.hpp"
 #include "toucanlever/control/worker_health.hpp"
 #include "toucanlever/control/worker_session.hpp"
 #include "toucanlever/core/event_loop.hpp"
@@ -18,6 +19,13 @@
 namespace toucanlever
 {
 
+/// Work on a worker of this scheduler that only its owner can stop.
+struct lender
+{
+    std::string incarnation;
+    lent_room room;
+};
+
 /// Queue, view and policy.
 class placement_controller
 {
@@ -38,6 +46,21 @@
         this->stop = std::move(stop);
     }
 
+    /// `lenders` lists what peers could stop here; `ask` asks one of them.
+    void set_lenders(std::function<std::vector<lender>()> lenders,
+        std::function<void(std::string const& owner, room_request const&)> ask)
+    {
+        this->lenders = std::move(lenders);
+        this->ask = std::move(ask);
+    }
+
+    /// A peer that controls the worker has urgent work for it.
+    void give_room(room_request const& request);
+
+    /// What this scheduler could stop on workers that it does not control, as
+    /// of the last `refresh_room`.
+    std::vector<lent_room> const& lent() const { return this->lent_rooms; }
+
     /// A placed job has started and may be stopped to make room.
     void track(job_record const& job);
     void untrack(std::string const& job_id);
@@ -66,7 +89,7 @@
     /// `refresh_room`: it looks at every running task, so nobody who only asks
     /// for it pays for that.
     resources const& largest_room() const { return this->room; }
-    void refresh_room() { this->room = this->policy->largest_room(this->cell); }
+    void refresh_room();
     placement_policy const& queue() const { return *this->policy; }
     std::string explain(std::string const& job_id) const
     {
@@ -77,6 +100,7 @@
     bool may_take_work(worker_session const& worker);
     void run();
     void make_room();
+    void borrow_room();
     void log(placement_decision const& decision, std::int64_t spent_us) const;
 
     event_loop& loop;
@@ -87,7 +111,11 @@
     cell_view cell;
     place_function place;
     std::function<void(std::string const&)> stop;
+    std::function<std::vector<lender>()> lenders;
+    std::function<void(std::string const&, room_request const&)> ask;
+    stoppable_jobs stoppable;
     resources room;
+    std::vector<lent_room> lent_rooms;
     bool scheduled = false;
     // When each suspected worker may be tried again.
     std::map<std::string, time_point> next_probe;
--- a/include/toucanlever/control/scheduler.hpp
+++ b/include/toucanlever/control/scheduler.hpp
@@ -56,6 +56,8 @@
     bool ready() const;
     void require_ready(std::string const& step) const;
     void refresh_capacities();
+    std::vector<lender> lenders() const;
+    void ask_for_room(std::string const& owner, room_request const& request);
     void tick();
     void finish_leaving(std::function<void()> done, int attempts);
 
--- a/include/toucanlever/core/resources.hpp
+++ b/include/toucanlever/core/resources.hpp
@@ -36,6 +36,9 @@
 resources operator+(resources left, resources const& right);
 resources operator-(resources left, resources const& right);
 
+/// What `free` lacks of `need`, no amount below zero.
+resources missing_of(resources const& need, resources const& free);
+
 /// Name of a dimension as it appears in errors and logs.
 std::string_view dimension_name(std::size_t dimension);
 
--- a/include/toucanlever/policy/placement_policy.hpp
+++ b/include/toucanlever/policy/placement_policy.hpp
@@ -56,6 +56,24 @@
     std::int64_t started_us = 0;
 };
 
+/// Running jobs of another scheduler on a worker of this view, which only
+/// that one can stop.
+struct lent_capacity
+{
+    worker_slot slot = 0;
+    /// What stopping all of them would make free.
+    resources stoppable;
+};
+
+/// A worker that was set aside for a job, and what others have to make free
+/// on it.
+struct borrowed_room
+{
+    std::string job;
+    worker_slot slot = 0;
+    resources missing;
+};
+
 /// Weights of customers under the preset in force.
 using share_weights = std::map<std::string, std::int64_t>;
 
@@ -97,6 +115,18 @@
     virtual std::vector<std::string> preempt(
         cell_view& cell, std::int64_t now_us) = 0;
 
+    /// True while an urgent job waits for which no room is being made.
+    virtual bool needs_room() const = 0;
+
+    /// For an urgent job of one task that `preempt` could not help: a worker
+    /// of `lent` on which others could make room. It is set aside for a while;
+    /// when the room has not come by then, the job may be helped elsewhere.
+    virtual std::optional<borrowed_room> borrow(cell_view& cell,
+        std::vector<lent_capacity> const& lent, std::int64_t now_us) = 0;
+
+    /// True while workers are set aside for this job.
+    virtual bool awaits_room(std::string const& job_id) const = 0;
+
     /// The most of each dimension that stopping could make free on one worker.
     virtual resources largest_room(cell_view const& cell) const = 0;
 
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -33,7 +33,8 @@
     offer_reply = 20,
     operator_query = 21,
     operator_reply = 22,
-    config_change = 23
+    config_change = 23,
+    room_request = 24
 };
 
 template <>
@@ -62,7 +63,8 @@
         row{message_type::offer_reply, "offer-reply"},
         row{message_type::operator_query, "operator-query"},
         row{message_type::operator_reply, "operator-reply"},
-        row{message_type::config_change, "config-change"}};
+        row{message_type::config_change, "config-change"},
+        row{message_type::room_request, "room-request"}};
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/wire/messages.hpp
+++ b/include/toucanlever/wire/messages.hpp
@@ -13,6 +13,26 @@
 namespace toucanlever
 {
 
+/// Batch work of the sender on a worker that another scheduler controls.
+struct lent_room
+{
+    std::string worker;
+    /// What stopping all of it would make free.
+    resources stoppable;
+
+    MSGPACK_DEFINE(worker, stoppable)
+};
+
+/// Asks the owner of batch work on a worker to stop enough of it, at
+/// checkpoints, that `missing` becomes free. Repeats stop nothing more.
+struct room_request
+{
+    std::string worker;
+    resources missing;
+
+    MSGPACK_DEFINE(worker, missing)
+};
+
 /// What a scheduler says about itself in every heartbeat.
 struct scheduler_state
 {
@@ -35,10 +55,12 @@
     resources capacity;
     /// What stopping batch work for urgent work could make free on one worker.
     resources stoppable;
+    /// What it could stop on workers that others control: some of it.
+    std::vector<lent_room> lent;
 
     MSGPACK_DEFINE(incarnation, name, domain, address, serves, ready, leaving,
         config_revision, free, largest_free, queued, running, capacity,
-        stoppable)
+        stoppable, lent)
 };
 
 /// The configuration in force, as it travels.
--- a/src/control/handover_controller.cpp
+++ b/src/control/handover_controller.cpp
@@ -134,6 +134,7 @@
     queued_job const& job) const
 {
     return job.urgent && job.tasks == 1 &&
+           !this->placement.queue().awaits_room(job.id) &&
            !this->placement.largest_room().fits(job.need);
 }
 
--- a/src/control/job_controller.cpp
+++ b/src/control/job_controller.cpp
@@ -42,6 +42,11 @@
     return queued;
 }
 
+bool is_preemptible(job_spec const& spec)
+{
+    return spec.kind == job_kind::batch && spec.idempotent && !spec.urgent;
+}
+
 error not_found(std::string const& id)
 {
     return error(error_code::not_found, "no such job: " + id, "find-job");
@@ -286,9 +291,7 @@
     job->state = job_state::running;
     job->worker = worker.info().id;
     this->attaching.answer(*job);
-    bool preemptible = job->spec.kind == job_kind::batch &&
-                       job->spec.idempotent && !job->spec.urgent;
-    if (preemptible)
+    if (is_preemptible(job->spec))
     {
         this->placement.track(*job);
     }
@@ -783,6 +786,10 @@
     job->worker = task.worker;
     job->state = job_state::running;
     worker.adopt(report);
+    if (is_preemptible(job->spec))
+    {
+        this->placement.track(*job);
+    }
 }
 
 void job_controller::release(std::set<std::string> const& ids, bool certain)
--- a/src/control/placement_controller.cpp
+++ b/src/control/placement_controller.cpp
@@ -84,8 +84,12 @@
     }
     else
     {
-        this->cell.add(id, worker.info().domain, worker.info().rack,
-            worker.capacity(), worker.free());
+        worker_slot added = this->cell.add(id, worker.info().domain,
+            worker.info().rack, worker.capacity(), worker.free());
+        for (running_job const& job : this->stoppable.on(id))
+        {
+            this->policy->track(job, added);
+        }
     }
     this->kick();
 }
@@ -179,6 +183,7 @@
             this->policy->preempt(this->cell, micros(this->loop.now()));
         if (victims.empty())
         {
+            this->borrow_room();
             return;
         }
         for (std::string const& job : victims)
@@ -190,19 +195,76 @@
     }
 }
 
+/// Urgent work for which nothing of ours can be stopped: peers that had the
+/// workers before still own what fills them.
+void placement_controller::borrow_room()
+{
+    if (!this->lenders || !this->policy->needs_room())
+    {
+        return;
+    }
+    std::vector<lent_capacity> lent;
+    std::map<worker_slot, std::string> owners;
+    for (lender const& each : this->lenders())
+    {
+        auto slot = this->cell.find(each.room.worker);
+        if (slot && owners.emplace(*slot, each.incarnation).second)
+        {
+            lent.push_back({*slot, each.room.stoppable});
+        }
+    }
+    while (auto room =
+               this->policy->borrow(this->cell, lent, micros(this->loop.now())))
+    {
+        std::string const& owner = owners.at(room->slot);
+        std::string const& worker = this->cell.at(room->slot).id;
+        log_line("room-requested")
+            .with("job", room->job)
+            .with("worker", worker)
+            .with("owner", owner)
+            .with("cpu_millis", room->missing.cpu_millis)
+            .with("memory_bytes", room->missing.memory_bytes)
+            .with("accelerators", room->missing.accelerators);
+        metrics().count("rooms_requested");
+        this->ask(owner, room_request{worker, room->missing});
+    }
+}
+
+void placement_controller::give_room(room_request const& request)
+{
+    for (std::string const& job :
+        this->stoppable.choose(request.worker, request.missing))
+    {
+        log_line("preemption")
+            .with("job", job)
+            .with("worker", request.worker)
+            .with("reason", "urgent-work-of-its-controller");
+        metrics().count("preemptions");
+        this->stop(job);
+    }
+}
+
+void placement_controller::refresh_room()
+{
+    this->room = this->policy->largest_room(this->cell);
+    this->lent_rooms = this->stoppable.lent(this->cell);
+}
+
 void placement_controller::track(job_record const& job)
 {
+    running_job running{
+        job.id, job.spec.customer, job.spec.need, micros(this->loop.now())};
+    this->stoppable.add(job.worker, running);
     auto slot = this->cell.find(job.worker);
     if (slot)
     {
-        this->policy->track(running_job{job.id, job.spec.customer,
-                                job.spec.need, micros(this->loop.now())},
-            *slot);
+        this->policy->track(running, *slot);
     }
 }
 
 void placement_controller::untrack(std::string const& job_id)
 {
+    this->stoppable.remove(job_id);
     this->policy->untrack(job_id);
 }
 
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -73,6 +73,9 @@
             this->placement.reconfigure();
             this->members.set_drained(this->configuration.snapshot().drained);
         });
+    this->placement.set_lenders([this] { return this->lenders(); },
+        [this](std::string const& owner, room_request const& request)
+        { this->ask_for_room(owner, request); });
     this->members.on_instances([this] { this->refresh_capacities(); });
     this->server = std::make_unique<rpc_server>(
         loop, settings.address, *this, timing_of(settings));
@@ -97,6 +100,40 @@
     this->log->set_interval(std::max(share, least_write_interval));
 }
 
+std::vector<lender> scheduler::lenders() const
+{
+    std::vector<lender> found;
+    for (scheduler_state const& peer : this->members.live(""))
+    {
+        for (lent_room const& room : peer.lent)
+        {
+            if (peer.incarnation != this->incarnation)
+            {
+                found.push_back({peer.incarnation, room});
+            }
+        }
+    }
+    return found;
+}
+
+void scheduler::ask_for_room(
+    std::string const& owner, room_request const& request)
+{
+    this->members.request(owner, message_type::room_request, pack(request),
+        this->settings.leases.peer_timeout,
+        [owner, worker = request.worker](rpc_result const& result)
+        {
+            // The job looks for room elsewhere when none has come.
+            if (result.problem)
+            {
+                log_line("room-request-failed")
+                    .with("owner", owner)
+                    .with("worker", worker)
+                    .with("reason", result.problem->what());
+            }
+        });
+}
+
 /// Both the journal and the scan of fence rows may notice it.
 void scheduler::give_way()
 {
@@ -191,6 +228,7 @@
     own.capacity = this->placement.view().total_capacity();
     own.largest_free = this->placement.view().largest_free();
     own.stoppable = this->placement.largest_room();
+    own.lent = this->placement.lent();
     own.queued = this->placement.waiting();
     own.running = this->jobs ? this->jobs->records().open_count() : 0;
     return own;
@@ -249,6 +287,10 @@
     case message_type::offer_jobs:
         this->on_offer(unpack<offer_request>(request.body, peer), respond);
         return;
+    case message_type::room_request:
+        this->placement.give_room(unpack<room_request>(request.body, peer));
+        respond(message_type::ack, pack(operator_reply{}));
+        return;
     case message_type::permit_request:
         this->on_permit(unpack<permit_request>(request.body, peer), respond);
         return;
--- a/src/core/resources.cpp
+++ b/src/core/resources.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/core/resources.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 
@@ -51,6 +53,15 @@
     return left;
 }
 
+resources missing_of(resources const& need, resources const& free)
+{
+    auto lack = [](std::int64_t wanted, std::int64_t have)
+    { return std::max<std::int64_t>(0, wanted - have); };
+    return {lack(need.cpu_millis, free.cpu_millis),
+        lack(need.memory_bytes, free.memory_bytes),
+        lack(need.accelerators, free.accelerators)};
+}
+
 std::string_view dimension_name(std::size_t dimension)
 {
     static constexpr std::array<std::string_view, resources::dimensions> names{
--- a/src/policy/fifo_first_fit.cpp
+++ b/src/policy/fifo_first_fit.cpp
@@ -73,6 +73,13 @@
     {
         return {};
     }
+    bool needs_room() const override { return false; }
+    std::optional<borrowed_room> borrow(
+        cell_view&, std::vector<lent_capacity> const&, std::int64_t) override
+    {
+        return std::nullopt;
+    }
+    bool awaits_room(std::string const&) const override { return false; }
     void forget(worker_slot) override {}
     std::size_t size() const override { return this->queue.size(); }
 
--- a/src/policy/weighted_share.cpp
+++ b/src/policy/weighted_share.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t reserved_part = 8;
 // Workers on which room is being made at a time.
 constexpr std::size_t max_room_slots = 64;
+// Room that another scheduler was asked for is waited for this long, in
+// microseconds: two heartbeats, a checkpoint, and the renewal that shows it.
+constexpr std::int64_t borrow_patience_us = 2'000'000;
 // Customers with the least whose first jobs are looked at for making room.
 constexpr int gaining_customers = 4;
 
@@ -84,11 +87,24 @@
     }
     if (queued_job const* job = this->urgent_without_room())
     {
-        return this->make_room(cell, *job, urgent_rule(), now_us);
+        return this->make_room_for_urgent(cell, *job, now_us);
     }
     return this->preempt_for_share(cell, now_us);
 }
 
+/// Where nothing else helps, workers that are set aside for jobs that only
+/// have waited long are used, too.
+std::vector<std::string> weighted_share::make_room_for_urgent(
+    cell_view& cell, queued_job const& job, std::int64_t now_us)
+{
+    auto victims = this->make_room(cell, job, urgent_rule(), now_us);
+    if (victims.empty() && this->release_passed_over(cell))
+    {
+        victims = this->make_room(cell, job, urgent_rule(), now_us);
+    }
+    return victims;
+}
+
 std::vector<std::string> weighted_share::preempt_for_share(
     cell_view& cell, std::int64_t now_us)
 {
@@ -170,6 +186,60 @@
     return victims;
 }
 
+std::optional<borrowed_room> weighted_share::borrow(cell_view& cell,
+    std::vector<lent_capacity> const& lent, std::int64_t now_us)
+{
+    queued_job const* job = this->urgent_without_room();
+    bool may_borrow = job != nullptr && job->tasks == 1 &&
+                      this->reserved_slots(true) < max_room_slots;
+    if (!may_borrow)
+    {
+        return std::nullopt;
+    }
+    for (lent_capacity const& each : lent)
+    {
+        view_worker const& worker = cell.at(each.slot);
+        bool usable = worker.present && !worker.held_back &&
+                      (worker.free + each.stoppable).fits(job->need);
+        if (!usable)
+        {
+            continue;
+        }
+        borrowed_room room{
+            job->id, each.slot, missing_of(job->need, worker.free)};
+        cell.hold_back(each.slot, true);
+        this->reservations.push_back(
+            {job->id, {each.slot}, true, now_us + borrow_patience_us});
+        return room;
+    }
+    return std::nullopt;
+}
+
+bool weighted_share::release_passed_over(cell_view& cell)
+{
+    std::size_t before = this->reservations.size();
+    for (std::size_t i = before; i > 0; --i)
+    {
+        if (!this->reservations[i - 1].makes_room)
+        {
+            this->release(cell, i - 1);
+        }
+    }
+    return this->reservations.size() < before;
+}
+
+void weighted_share::release_expired(cell_view& cell, std::int64_t now_us)
+{
+    for (std::size_t i = this->reservations.size(); i > 0; --i)
+    {
+        std::int64_t until = this->reservations[i - 1].until_us;
+        if (until > 0 && now_us >= until)
+        {
+            this->release(cell, i - 1);
+        }
+    }
+}
+
 std::optional<placement_decision> weighted_share::next(
     cell_view& cell, std::int64_t now_us)
 {
@@ -183,6 +253,7 @@
     {
         return reserved;
     }
+    this->release_expired(cell, now_us);
     if (auto urgent = this->next_of_class(cell, true))
     {
         return urgent;
@@ -416,7 +487,8 @@
     std::size_t allowed = std::max<std::size_t>(1, cell.size() / reserved_part);
     queued_job const* job = this->passed_over(now_us);
     bool room = held == 0 || (job != nullptr && held + job->tasks <= allowed);
-    if (job == nullptr || !room || cell.size() <= job->tasks)
+    if (job == nullptr || !room || cell.size() <= job->tasks ||
+        this->needs_room())
     {
         return;
     }
--- a/src/policy/weighted_share.hpp
+++ b/src/policy/weighted_share.hpp
@@ -43,6 +43,16 @@
     void untrack(std::string const& job_id) override;
     std::vector<std::string> preempt(
         cell_view& cell, std::int64_t now_us) override;
+    bool needs_room() const override
+    {
+        return this->urgent_without_room() != nullptr;
+    }
+    std::optional<borrowed_room> borrow(cell_view& cell,
+        std::vector<lent_capacity> const& lent, std::int64_t now_us) override;
+    bool awaits_room(std::string const& job_id) const override
+    {
+        return this->has_reservation(job_id);
+    }
     resources largest_room(cell_view const& cell) const override
     {
         return this->running.largest_room(cell);
@@ -65,6 +75,9 @@
         std::vector<worker_slot> slots;
         /// Running jobs are being stopped for it: it goes first.
         bool makes_room = false;
+        /// When it ends unused; 0 for never. Set where the room depends on
+        /// another scheduler, which may be gone.
+        std::int64_t until_us = 0;
     };
 
     using try_result = std::optional<placement_decision>;
@@ -77,6 +90,8 @@
     queued_job const* urgent_without_room() const;
     std::vector<std::string> make_room(cell_view& cell, queued_job const& job,
         victim_rule const& rule, std::int64_t now_us);
+    std::vector<std::string> make_room_for_urgent(
+        cell_view& cell, queued_job const& job, std::int64_t now_us);
     std::vector<std::string> make_room_for(
         cell_view& cell, std::string const& customer, std::int64_t now_us);
     std::vector<std::string> preempt_for_share(
@@ -92,6 +107,9 @@
     queued_job const* passed_over(std::int64_t now_us) const;
     void reserve(cell_view& cell, std::int64_t now_us);
     void release(cell_view& cell, std::size_t index);
+    /// Of jobs that have waited long; false when there are none.
+    bool release_passed_over(cell_view& cell);
+    void release_expired(cell_view& cell, std::int64_t now_us);
     bool has_reservation(std::string const& job_id) const;
 
     share_queue queue;
--- a/src/programs/ctl/api_client.hpp
+++ b/src/programs/ctl/api_client.hpp
@@ -7,7 +7,7 @@
 namespace toucanlever
 {
 
-/// Exit codes of toucanctl, documented in docs/OPERATORS.md.
+/// Exit codes of toucanctl, documented in docs/OPERATIONS.md.
 enum class ctl_exit
 {
     done = 0,
--- a/tests/unit/fake_worker.hpp
+++ b/tests/unit/fake_worker.hpp
@@ -16,14 +16,14 @@
     void acquire(std::string const&, std::string const&, std::int64_t,
         std::function<void(control_grant)> done) override
     {
-        done(this->grant());
+        done(this->refuses_control ? refusal() : this->grant());
     }
 
     void renew(std::string const&, std::string const&, std::int64_t,
         std::int64_t, std::int64_t,
         std::function<void(control_grant)> done) override
     {
-        done(this->grant());
+        done(this->refuses_control ? refusal() : this->grant());
     }
 
     void release(std::string const&, std::string const&, std::int64_t) override
@@ -103,6 +103,10 @@
     }
 
     bool answers = true;
+    /// Another scheduler holds control.
+    bool refuses_control = false;
+    /// What tasks of other schedulers take.
+    resources foreign;
     std::string incarnation = "w-1";
     worker_answer start_answer = worker_answer::accepted;
     std::vector<task_start> starts;
@@ -126,6 +130,14 @@
         made.token = 1;
         made.incarnation = this->incarnation;
         made.capacity = {8000, 1 << 30, 0};
+        made.foreign = this->foreign;
+        return made;
+    }
+
+    static control_grant refusal()
+    {
+        control_grant made;
+        made.answer = worker_answer::refused;
         return made;
     }
 
--- a/tests/unit/policy.tests.cpp
+++ b/tests/unit/policy.tests.cpp
@@ -388,3 +388,109 @@
     cr_assert(not policy->next(cell, full_worker::now_us));
     cr_assert(eq(sz, policy->preempt(cell, full_worker::now_us).size(), 2));
 }
+
+namespace
+{
+
+/// Two workers of four cores whose tasks another scheduler owns, and an urgent
+/// job of two cores.
+class foreign_cell
+{
+public:
+    foreign_cell()
+    {
+        add_workers(this->cell, 2, 4000);
+        this->cell.set_free(0, {1000, 127 * gib, 0});
+        this->cell.set_free(1, {0, 127 * gib, 0});
+        auto job = make_job("urgent", "b", 2000);
+        job.urgent = true;
+        this->policy->enqueue(job);
+        cr_assert(not this->policy->next(this->cell, 0));
+        cr_assert(this->policy->preempt(this->cell, 0).empty());
+    }
+
+    std::optional<borrowed_room> borrow(std::int64_t now_us)
+    {
+        return this->policy->borrow(this->cell, this->lent, now_us);
+    }
+
+    std::unique_ptr<placement_policy> policy = make_weighted_share();
+    cell_view cell;
+    std::vector<lent_capacity> lent{{0, {3000, gib, 0}}};
+};
+
+} // namespace
+
+Test(weighted_share, urgent_work_borrows_room_that_only_another_can_make)
+{
+    foreign_cell bench;
+
+    auto room = bench.borrow(0);
+
+    cr_assert(room.has_value());
+    cr_assert(eq(str, room->job, "urgent"));
+    cr_assert(eq(u32, room->slot, 0));
+    // One core is free already.
+    resources const expected{1000, 0, 0};
+    cr_assert(room->missing == expected);
+    cr_assert(not bench.policy->needs_room());
+    cr_assert(bench.policy->awaits_room("urgent"));
+
+    bench.policy->enqueue(make_job("batch", "a", 1000));
+    bench.cell.set_free(0, {2000, gib, 0});
+    cr_assert(eq(str, bench.policy->next(bench.cell, 1000)->job.id, "urgent"));
+}
+
+Test(weighted_share, room_that_does_not_come_is_borrowed_elsewhere)
+{
+    foreign_cell bench;
+    cr_assert(bench.borrow(0).has_value());
+    cr_assert(not bench.borrow(1'000'000).has_value());
+
+    cr_assert(not bench.policy->next(bench.cell, 3'000'000));
+    bench.lent = {{1, {4000, gib, 0}}};
+    auto room = bench.borrow(3'000'000);
+
+    cr_assert(room.has_value());
+    cr_assert(eq(u32, room->slot, 1));
+}
+
+Test(weighted_share, only_urgent_work_that_the_lent_room_suffices_for_borrows)
+{
+    foreign_cell bench;
+    bench.lent = {{0, {500, gib, 0}}};
+    cr_assert(not bench.borrow(0).has_value());
+    cr_assert(bench.policy->needs_room());
+
+    bench.policy->remove("urgent");
+    bench.policy->enqueue(make_job("batch", "b", 2000));
+    bench.lent = {{0, {4000, gib, 0}}};
+    cr_assert(not bench.policy->next(bench.cell, 0));
+    cr_assert(not bench.borrow(0).has_value());
+}
+
+Test(weighted_share, urgent_work_has_batch_stopped_on_a_worker_set_aside)
+{
+    auto policy = make_weighted_share();
+    cell_view cell;
+    add_workers(cell, 1, 4000);
+    // Too small for the large job, and full of what cannot be stopped.
+    cell.add("small", "a", "rack-9", {2000, 8 * gib, 0}, {0, gib, 0});
+    policy->set_stop_for_shares(false);
+    policy->enqueue(make_job("running", "a", 4000));
+    auto first = policy->next(cell, 0);
+    policy->track({"running", "a", first->job.need, 0}, first->slots[0]);
+    policy->enqueue(make_job("large", "a", 4000));
+    cr_assert(not policy->next(cell, 2'000'000));
+    cr_assert(cell.at(first->slots[0]).held_back);
+
+    auto urgent = make_job("urgent", "b", 2000);
+    urgent.urgent = true;
+    policy->enqueue(urgent);
+    cr_assert(not policy->next(cell, 2'000'000));
+    auto victims = policy->preempt(cell, 2'000'000);
+
+    cr_assert(eq(sz, victims.size(), 1));
+    cr_assert(policy->awaits_room("urgent"));
+    cr_assert(not policy->awaits_room("large"));
+}
--- a/tests/unit/scheduler.tests.cpp
+++ b/tests/unit/scheduler.tests.cpp
@@ -38,6 +38,12 @@
             reply.state.ready = !this->offered;
             reply.state.capacity = {8000, 1 << 30, 0};
             reply.state.stoppable = reply.state.capacity;
+            if (!this->lent.worker.empty())
+            {
+                reply.state.capacity = {};
+                reply.state.stoppable = {};
+                reply.state.lent = {this->lent};
+            }
             if (!this->full)
             {
                 reply.state.free = reply.state.capacity;
@@ -46,6 +52,13 @@
             respond(message_type::state_reply, pack(reply));
             return;
         }
+        if (request.type == message_type::room_request)
+        {
+            this->rooms.push_back(
+                unpack<room_request>(request.body, "controller"));
+            respond(message_type::ack, pack(operator_reply{}));
+            return;
+        }
         auto offer = unpack<offer_request>(request.body, "offerer");
         this->offered = true;
         if (this->keeps_silent)
@@ -67,6 +80,9 @@
     /// Of batch work that it can stop.
     bool full = false;
     bool offered = false;
+    /// What it runs on a worker that it does not control; it controls none.
+    lent_room lent;
+    std::vector<room_request> rooms;
 };
 
 task_report report_of(task_start const& task, std::string const& state)
@@ -547,3 +563,97 @@
     cr_assert(peer.offered);
     cr_assert(eq(str, bench.view(job).moved_to, peer.owner));
 }
+
+Test(scheduler, asks_the_owner_of_what_fills_its_workers_for_urgent_work)
+{
+    scheduler_bench bench("127.11.16");
+    scripted_peer peer;
+    // Of another domain: it would get the rack otherwise.
+    peer.domain = "b";
+    peer.full = true;
+    peer.lent = {"w1", {8000, 1 << 20, 0}};
+    rpc_server server(bench.loop, "127.11.16.2:7300", peer, rpc_timing{});
+    bench.list_worker("w1", "a");
+    bench.worker.foreign = {7000, 1 << 20, 0};
+    bench.begin();
+    job_spec job;
+    job.need.cpu_millis = 4000;
+    bench.submit(job);
+    bench.pass(milliseconds(1000));
+    cr_assert(peer.rooms.empty());
+
+    job.urgent = true;
+    std::string id = bench.submit(job);
+    bench.pass(milliseconds(1000));
+
+    cr_assert(eq(sz, peer.rooms.size(), 1));
+    cr_assert(eq(str, peer.rooms[0].worker, "w1"));
+    cr_assert(eq(i64, peer.rooms[0].missing.cpu_millis, 3000));
+
+    bench.worker.foreign = {};
+    bench.pass(milliseconds(1000));
+    cr_assert(bench.view(id).state == job_state::running);
+}
+
+Test(scheduler, stops_its_batch_work_for_the_controller_of_the_worker)
+{
+    scheduler_bench bench("127.11.17");
+    bench.list_worker("w1", "a");
+    bench.begin();
+    job_spec job;
+    job.need.cpu_millis = 4000;
+    bench.submit(job);
+    cr_assert(eq(sz, bench.worker.starts.size(), 1));
+    cr_assert(bench.state().lent.empty());
+
+    bench.worker.refuses_control = true;
+    bench.pass(milliseconds(5000));
+    auto lent = bench.state().lent;
+    cr_assert(eq(sz, lent.size(), 1));
+    cr_assert(eq(str, lent[0].worker, "w1"));
+    cr_assert(eq(i64, lent[0].stoppable.cpu_millis, 4000));
+
+    bench.ask(
+        message_type::room_request, pack(room_request{"w1", {1000, 0, 0}}));
+
+    cr_assert(not bench.worker.stops.empty());
+    cr_assert(eq(str, bench.worker.stops[0], bench.worker.starts[0].id));
+    cr_assert(bench.worker.last_stop == stop_kind::at_checkpoint);
+}
+
+Test(scheduler, can_stop_what_it_took_over_for_urgent_work)
+{
+    scheduler_bench bench("127.11.18");
+    bench.list_worker("w1", "a");
+    journal_entry accepted;
+    accepted.job_id = "a.first.1.1";
+    accepted.spec.need.cpu_millis = 8000;
+    journal_entry seen;
+    seen.event = journal_event::worker_seen;
+    seen.worker = "w1";
+    seen.worker_incarnation = bench.worker.incarnation;
+    bench.write_journal("a.first.1", {accepted, seen});
+    bench.set_fence("a.first.1", "released");
+    bench.worker.foreign = {8000, 1 << 20, 0};
+    bench.begin();
+    bench.pass(milliseconds(2000));
+    task_report report;
+    report.id = accepted.job_id + ":1.0:0";
+    report.job_id = accepted.job_id;
+    report.attempt = 1;
+    report.need.cpu_millis = 8000;
+    report.state = "running";
+    bench.worker.foreign = {};
+    bench.worker.answer_fence("w1", {report});
+    bench.pass(milliseconds(500));
+    cr_assert(bench.view(accepted.job_id).state == job_state::running);
+
+    job_spec urgent;
+    urgent.urgent = true;
+    urgent.need.cpu_millis = 8000;
+    bench.submit(urgent);
+
+    cr_assert(not bench.worker.stops.empty());
+    cr_assert(eq(str, bench.worker.stops[0], report.id));
+    cr_assert(bench.worker.last_stop == stop_kind::at_checkpoint);
+}
