A failed request can be followed from its id to its cause

An answer of the platform or of a worker whose JSON had another shape than expected threw out of the callback that decoded it, and so out of the event loop, which ends the process.

Change: the gateway names each request, sends the name to runners and back to the caller (X-Request-Id), logs every failure with step, peer, age and whether it ran, and logs under which job id a submission was accepted. dependency_watch logs the platform's loss and return once each. Answers of a wrong shape are reported and count as no answer.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "virtual_cell.hpp"
 
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/core/version.hpp"
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -185,6 +186,7 @@
     po::options_description described("toucan-bench-policy");
     auto add = described.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("workers", po::value(&into.trace.workers), "workers");
     add("customers", po::value(&into.trace.customers), "customers");
     add("profile", po::value(&into.profile), "strekbod, agency or fleet");
@@ -242,6 +244,11 @@
             std::cout << described;
             return 0;
         }
+        if (values.count("version") > 0)
+        {
+            std::cout << "toucan-bench-policy " << toucanlever::version << "\n";
+            return 0;
+        }
         po::notify(values);
         return run(options);
     }
--- /dev/null
+++ b/include/toucanlever/core/dependency_watch.hpp
@@ -0,0 +1,31 @@
+/// Logs when something that this process depends on is lost and regained.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace toucanlever
+{
+
+/// One dependency, judged by the calls made to it.
+class dependency_watch
+{
+public:
+    dependency_watch(std::string dependency, std::string peer);
+
+    /// The outcome of a call; one line for the first failure and one for the
+    /// first success after it.
+    void answered();
+    void failed(std::string_view reason);
+
+    bool is_lost() const { return this->failures > 0; }
+
+private:
+    std::string dependency;
+    std::string peer;
+    // Calls that failed since the last that did not.
+    std::uint64_t failures = 0;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/core/version.hpp
@@ -0,0 +1,11 @@
+/// The version that every program prints and logs.
+#pragma once
+
+namespace toucanlever
+{
+
+/// Semantic: the frames between own processes stay readable within a major
+/// version.
+constexpr char const* version = "0.4.0";
+
+} // namespace toucanlever
--- a/include/toucanlever/gateway/gateway.hpp
+++ b/include/toucanlever/gateway/gateway.hpp
@@ -30,8 +30,11 @@
 private:
     bool answer_probe(http_request const& request, http_exchange& exchange);
     void finish_leaving(std::function<void()> done);
+    void log_failure(
+        request_context const& context, http_response const& response) const;
 
     event_loop& loop;
+    std::string name;
     scheduler_pool schedulers;
     filter_chain chain;
     std::unique_ptr<http_server> server;
--- a/include/toucanlever/gateway/request_filter.hpp
+++ b/include/toucanlever/gateway/request_filter.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
 /// One request on its way through the chain.
 struct request_context
 {
+    /// Names the request in logs, at runners and in the caller's answer.
+    std::string id;
     http_request request;
     std::shared_ptr<http_exchange> exchange;
     time_point arrived{};
@@ -38,6 +41,8 @@
     /// Runs once, when the request is answered.
     std::vector<std::function<void(http_response const&)>> on_answer;
     bool answered = false;
+    /// Why it failed, when this system and not a runner says so.
+    std::optional<error> failure;
 
     void answer(http_response response);
     void fail(error const& problem);
@@ -69,6 +74,9 @@
     std::vector<std::unique_ptr<request_filter>> filters;
 };
 
+/// Header of every answer: the request's id in the logs.
+constexpr char const* request_id_header = "X-Request-Id";
+
 /// Header of every error: whether the request ran (no | yes | unknown).
 constexpr char const* ran_header = "X-Toucan-Ran";
 
--- a/include/toucanlever/platform/http_platform.hpp
+++ b/include/toucanlever/platform/http_platform.hpp
@@ -7,6 +7,7 @@
 ///                             ETag; 304 to If-None-Match while it stands
 #pragma once
 
+#include "toucanlever/core/dependency_watch.hpp"
 #include "toucanlever/http/client.hpp"
 #include "toucanlever/platform/table_service.hpp"
 
@@ -25,11 +26,14 @@
     void list(list_callback done) override;
 
 private:
+    /// Every answer passes through here on its way in.
+    void send(http_call call, http_client::callback done);
     instance_list take_list(http_result const& result);
     void scan_page(std::string const& prefix, std::string const& after,
         std::vector<table_row> found, rows_callback done);
 
     http_client& client;
+    dependency_watch watch;
     std::string base;
     milliseconds timeout;
     // The last list that came with a tag, and its tag.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/job_api.hpp"
 #include "gateway/operator_api.hpp"
 #include "gateway/runner_router.hpp"
+#include "toucanlever/core/ids.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
@@ -32,6 +33,7 @@
 gateway::gateway(
     event_loop& loop, http_client& client, gateway_settings const& settings)
     : loop(loop)
+    , name(settings.name)
     , schedulers(loop, settings)
 {
     this->chain.add(std::make_unique<parse_filter>());
@@ -57,12 +59,42 @@
         return;
     }
     auto context = std::make_shared<request_context>();
+    context->id = this->name + "." + random_token() + random_token();
     context->request = std::move(request);
     context->exchange = std::move(exchange);
     context->arrived = this->loop.now();
+    context->on_answer.push_back(
+        [this, context = context.get()](http_response const& response)
+        { this->log_failure(*context, response); });
     this->chain.run(context);
 }
 
+void gateway::log_failure(
+    request_context const& context, http_response const& response) const
+{
+    if (!context.failure)
+    {
+        return;
+    }
+    error const& problem = *context.failure;
+    auto age = std::chrono::duration_cast<milliseconds>(
+        this->loop.now() - context.arrived);
+    metrics().count("requests_failed");
+    log_line("request-failed")
+        .with("request", context.id)
+        .with("customer", context.customer.name)
+        .with("method", context.request.method)
+        .with("path", context.request.path)
+        .with("key", context.key)
+        .with("status", response.status)
+        .with("code", name_of(problem.code))
+        .with("step", problem.step)
+        .with("peer", problem.peer)
+        .with("ran", name_of(problem.ran))
+        .with("age_ms", age.count())
+        .with("reason", problem.what());
+}
+
 bool gateway::answer_probe(http_request const& request, http_exchange& exchange)
 {
     if (request.path == "/healthz")
--- a/src/gateway/job_api.cpp
+++ b/src/gateway/job_api.cpp
@@ -101,6 +101,7 @@
     if (this->settings.log_decisions)
     {
         log_line("hand-over")
+            .with("request", context->id)
             .with("customer", submit.spec.customer)
             .with("kind", name_of(submit.spec.kind))
             .with("scheduler", scheduler->address())
@@ -114,6 +115,12 @@
             {
                 auto reply =
                     result.as<submit_reply>(message_type::submit_reply, peer);
+                log_line("job-accepted")
+                    .with("request", context->id)
+                    .with("job", reply.job_id)
+                    .with("scheduler", peer)
+                    .with("duplicate", reply.duplicate ? "yes" : "no")
+                    .with("durable", reply.durable ? "yes" : "no");
                 nlohmann::json json{{"id", reply.job_id},
                     {"duplicate", reply.duplicate}, {"durable", reply.durable}};
                 context->answer(json_response(202, json.dump()));
--- a/src/gateway/request_filter.cpp
+++ b/src/gateway/request_filter.cpp
@@ -67,11 +67,16 @@
     {
         handler(response);
     }
+    response.headers.push_back({request_id_header, this->id});
     this->exchange->answer(std::move(response));
 }
 
 void request_context::fail(error const& problem)
 {
+    if (!this->answered)
+    {
+        this->failure = problem;
+    }
     this->answer(error_response(problem));
 }
 
--- a/src/gateway/runner_router.cpp
+++ b/src/gateway/runner_router.cpp
@@ -71,8 +71,6 @@
     request->context = context;
     request->service = service;
     request->give_up = this->loop.now() + milliseconds(service.timeout_ms);
-    request->request_id =
-        this->settings.name + "." + random_token() + random_token();
     this->budget.on_request();
     if (this->try_send(request))
     {
@@ -202,7 +200,7 @@
         }
     }
     call.headers.push_back({"X-Customer", request->context->customer.name});
-    call.headers.push_back({"X-Request-Id", request->request_id});
+    call.headers.push_back({request_id_header, request->context->id});
     call.headers.push_back(
         {"X-Deadline-Ms", std::to_string(request->service.timeout_ms)});
     call.body = original.body;
@@ -215,7 +213,7 @@
     {
         auto spent = this->loop.now() - request->context->arrived;
         log_line("routing")
-            .with("request", request->request_id)
+            .with("request", request->context->id)
             .with("customer", request->context->customer.name)
             .with("service", request->service.name)
             .with("runner", runner.id)
@@ -289,7 +287,7 @@
 {
     bool not_sent = result.delivery == http_delivery::not_sent;
     log_line("request-not-answered")
-        .with("request", request->request_id)
+        .with("request", request->context->id)
         .with("runner", runner)
         .with("sent", not_sent ? "no" : "maybe")
         .with("reason", result.problem);
--- a/src/gateway/runner_router.hpp
+++ b/src/gateway/runner_router.hpp
@@ -39,7 +39,6 @@
         context_ptr context;
         service_config service;
         time_point give_up{};
-        std::string request_id;
         std::set<std::string> tried;
         int attempts = 0;
         /// True once an attempt may have reached a runner.
--- /dev/null
+++ b/src/platform/answer_reader.hpp
@@ -0,0 +1,32 @@
+/// Decodes the JSON of answers from outside. A wrong shape is reported and
+/// counts as no answer: a peer in disorder must not end this process.
+#pragma once
+
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
+
+#include <exception>
+#include <string_view>
+
+namespace toucanlever
+{
+
+/// What `decode` returns, or `fallback` when the JSON has another shape.
+template <typename Result, typename Decode>
+Result read_answer(std::string_view step, Result fallback, Decode decode)
+{
+    try
+    {
+        return decode();
+    }
+    catch (std::exception const& problem)
+    {
+        metrics().count("answers_unreadable");
+        log_line("answer-unreadable")
+            .with("step", step)
+            .with("reason", problem.what());
+        return fallback;
+    }
+}
+
+} // namespace toucanlever
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/platform/http_platform.hpp"
 
+#include "platform/answer_reader.hpp"
+
 namespace toucanlever
 {
 
@@ -12,6 +14,7 @@
 
 constexpr int http_conflict = 409;
 constexpr int http_not_modified = 304;
+constexpr int http_server_error = 500;
 constexpr int page_rows = 500;
 
 std::string escape_query(std::string const& text)
@@ -53,13 +56,39 @@
     {
         return out;
     }
-    nlohmann::json body = body_of(result);
-    if (!body.is_discarded())
+    return read_answer("commit-transaction", out,
+        [&result]
+        {
+            nlohmann::json row = body_of(result);
+            commit_result conflict;
+            row.at("key");
+            conflict.conflict = row.get<table_row>();
+            conflict.outcome = commit_outcome::conflict;
+            return conflict;
+        });
+}
+
+/// The rows of one page, and whether more follow.
+struct row_page
+{
+    std::vector<table_row> rows;
+    bool more = false;
+};
+
+std::optional<row_page> to_page(http_result const& result)
+{
+    if (!result.succeeded())
     {
-        out.outcome = commit_outcome::conflict;
-        out.conflict = body.get<table_row>();
+        return std::nullopt;
     }
-    return out;
+    return read_answer("scan-rows", std::optional<row_page>(),
+        [&result]
+        {
+            nlohmann::json body = body_of(result);
+            return std::optional(
+                row_page{body.at("rows").get<std::vector<table_row>>(),
+                    body.value("more", false)});
+        });
 }
 
 } // namespace
@@ -67,11 +96,35 @@
 http_platform::http_platform(
     http_client& client, std::string const& address, milliseconds timeout)
     : client(client)
+    , watch("platform", address)
     , base("http://" + address + "/v1/")
     , timeout(timeout)
 {
 }
 
+void http_platform::send(http_call call, http_client::callback done)
+{
+    call.timeout = this->timeout;
+    this->client.send(std::move(call),
+        [this, done](http_result const& result)
+        {
+            if (result.delivery != http_delivery::answered)
+            {
+                this->watch.failed(result.problem);
+            }
+            else if (result.response.status >= http_server_error)
+            {
+                this->watch.failed(
+                    "status " + std::to_string(result.response.status));
+            }
+            else
+            {
+                this->watch.answered();
+            }
+            done(result);
+        });
+}
+
 void http_platform::commit(transaction const& work, commit_callback done)
 {
     http_call call;
@@ -80,8 +133,7 @@
     call.body = nlohmann::json{{"checks", work.checks}, {"writes", work.writes},
         {"deletes", work.deletes}}
                     .dump();
-    call.timeout = this->timeout;
-    this->client.send(std::move(call),
+    this->send(std::move(call),
         [done](http_result const& result) { done(to_commit_result(result)); });
 }
 
@@ -97,21 +149,17 @@
     call.url = this->base + "rows?prefix=" + escape_query(prefix) +
                "&after=" + escape_query(after) +
                "&limit=" + std::to_string(page_rows);
-    call.timeout = this->timeout;
-    this->client.send(std::move(call),
+    this->send(std::move(call),
         [this, prefix, found, done](http_result const& result) mutable
         {
-            nlohmann::json body = body_of(result);
-            if (!result.succeeded() || body.is_discarded())
+            auto page = to_page(result);
+            if (!page)
             {
                 done(std::nullopt);
                 return;
             }
-            for (nlohmann::json const& row : body["rows"])
-            {
-                found.push_back(row.get<table_row>());
-            }
-            if (body.value("more", false) && !found.empty())
+            found.insert(found.end(), page->rows.begin(), page->rows.end());
+            if (page->more && !page->rows.empty())
             {
                 std::string last = found.back().key;
                 this->scan_page(prefix, last, std::move(found), done);
@@ -125,12 +173,11 @@
 {
     http_call call;
     call.url = this->base + "instances";
-    call.timeout = this->timeout;
     if (this->last_list)
     {
         call.headers.push_back({"If-None-Match", this->list_tag});
     }
-    this->client.send(std::move(call), [this, done](http_result const& result)
+    this->send(std::move(call), [this, done](http_result const& result)
         { done(this->take_list(result)); });
 }
 
@@ -143,13 +190,20 @@
     {
         return this->last_list;
     }
-    nlohmann::json body = body_of(result);
-    if (!result.succeeded() || body.is_discarded())
+    if (!result.succeeded())
+    {
+        return nullptr;
+    }
+    auto fresh = read_answer("list-instances", instance_list(),
+        [&result]
+        {
+            return std::make_shared<std::vector<instance> const>(
+                body_of(result).at("instances").get<std::vector<instance>>());
+        });
+    if (!fresh)
     {
         return nullptr;
     }
-    auto fresh = std::make_shared<std::vector<instance> const>(
-        body["instances"].get<std::vector<instance>>());
     auto tag = find_field(result.response.headers, "ETag");
     this->last_list = tag ? fresh : nullptr;
     this->list_tag = tag.value_or("");
--- a/src/platform/http_workers.cpp
+++ b/src/platform/http_workers.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/platform/http_workers.hpp"
 
+#include "platform/answer_reader.hpp"
+
 namespace toucanlever
 {
 namespace
@@ -37,15 +39,10 @@
     return out;
 }
 
-control_grant to_grant(http_result const& result)
+control_grant grant_of(parsed_answer const& parsed)
 {
-    parsed_answer parsed = parse(result);
     control_grant grant;
     grant.answer = parsed.answer;
-    if (parsed.answer == worker_answer::in_doubt)
-    {
-        return grant;
-    }
     grant.epoch = parsed.body.value("epoch", std::int64_t(0));
     grant.token = parsed.body.value("token", std::int64_t(0));
     grant.incarnation = parsed.body.value("incarnation", std::string());
@@ -55,15 +52,20 @@
     return grant;
 }
 
-follow_result to_follow(http_result const& result)
+control_grant to_grant(http_result const& result)
 {
     parsed_answer parsed = parse(result);
-    follow_result out;
-    out.answer = parsed.answer;
-    if (parsed.answer != worker_answer::accepted)
+    if (parsed.answer == worker_answer::in_doubt)
     {
-        return out;
+        return {};
     }
+    return read_answer("control-worker", control_grant{},
+        [&parsed] { return grant_of(parsed); });
+}
+follow_result follow_of(parsed_answer const& parsed)
+{
+    follow_result out;
+    out.answer = parsed.answer;
     out.incarnation = parsed.body.value("incarnation", std::string());
     out.token = parsed.body.value("token", std::int64_t(0));
     out.version = parsed.body.value("version", std::int64_t(0));
@@ -72,6 +74,36 @@
     return out;
 }
 
+follow_result to_follow(http_result const& result)
+{
+    parsed_answer parsed = parse(result);
+    if (parsed.answer != worker_answer::accepted)
+    {
+        follow_result out;
+        out.answer = parsed.answer;
+        return out;
+    }
+    return read_answer("follow-worker", follow_result{},
+        [&parsed] { return follow_of(parsed); });
+}
+
+start_result to_start(http_result const& result)
+{
+    parsed_answer parsed = parse(result);
+    start_result out;
+    out.answer = parsed.answer;
+    if (parsed.answer == worker_answer::in_doubt)
+    {
+        return out;
+    }
+    return read_answer("start-task", start_result{},
+        [&parsed, out]() mutable
+        {
+            out.reason = parsed.body.value("reason", std::string());
+            return out;
+        });
+}
+
 } // namespace
 
 void http_workers::post(std::string const& url, nlohmann::json const& body,
@@ -116,17 +148,7 @@
     std::function<void(start_result)> done)
 {
     this->post(base + "/tasks/start", task, milliseconds(0),
-        [done](http_result const& result)
-        {
-            parsed_answer parsed = parse(result);
-            start_result out;
-            out.answer = parsed.answer;
-            if (parsed.answer != worker_answer::in_doubt)
-            {
-                out.reason = parsed.body.value("reason", std::string());
-            }
-            done(out);
-        });
+        [done](http_result const& result) { done(to_start(result)); });
 }
 
 void http_workers::stop(std::string const& base, std::string const& task,
--- a/src/programs/command_line.cpp
+++ b/src/programs/command_line.cpp
@@ -17,6 +17,7 @@
     po::options_description described(program + " options");
     auto add = described.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("settings", po::value(&options.settings_file)->required(),
         "settings file (YAML)");
     add("check", po::bool_switch(&options.check_only),
@@ -31,6 +32,12 @@
             exit_code = 0;
             return std::nullopt;
         }
+        if (values.count("version") > 0)
+        {
+            std::cout << program << " " << version << "\n";
+            exit_code = 0;
+            return std::nullopt;
+        }
         po::notify(values);
         return options;
     }
--- a/src/programs/command_line.hpp
+++ b/src/programs/command_line.hpp
@@ -1,8 +1,10 @@
-/// Command line of the daemons: `--settings FILE`, `--check`, `--help`.
+/// Command line of the daemons: `--settings FILE`, `--check`, `--help`,
+/// `--version`.
 #pragma once
 
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/core/version.hpp"
 
 #include <iostream>
 #include <optional>
@@ -44,7 +46,11 @@
             return 0;
         }
         start_log(program, settings.name);
+        log_line("process-started")
+            .with("version", version)
+            .with("settings", options->settings_file);
         run(settings);
+        log_line("process-stopped").with("reason", "stop-signal");
         stop_log();
         return 0;
     }
@@ -56,6 +62,7 @@
     catch (std::exception const& problem)
     {
         std::cerr << program << ": " << problem.what() << "\n";
+        log_line("process-stopped").with("reason", problem.what());
         stop_log();
         return 1;
     }
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -2,6 +2,7 @@
 #include "programs/ctl/verbs.hpp"
 
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/core/version.hpp"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
@@ -25,6 +26,15 @@
     return value == nullptr ? "" : value;
 }
 
+bool is_json(std::string const& format)
+{
+    if (format != "json" && format != "table")
+    {
+        throw po::error("-o: expected table or json, not " + format);
+    }
+    return format == "json";
+}
+
 void print_help()
 {
     std::cout << usage;
@@ -54,7 +64,7 @@
         }
         else if (words[i] == "-o" && has_value)
         {
-            input.json_output = words[++i] == "json";
+            input.json_output = is_json(words[++i]);
         }
         else
         {
@@ -73,6 +83,11 @@
         print_help();
         return words.empty() ? ctl_exit::usage : ctl_exit::done;
     }
+    if (words[0] == "--version")
+    {
+        std::cout << "toucanctl " << version << "\n";
+        return ctl_exit::done;
+    }
     auto const& verbs = all_verbs();
     auto chosen = std::find_if(verbs.begin(), verbs.end(),
         [&words](verb const& each) { return each.name == words[0]; });
--- a/tests/scenario/main.cpp
+++ b/tests/scenario/main.cpp
@@ -3,6 +3,7 @@
 #include "runner.hpp"
 
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/core/version.hpp"
 
 #include <boost/program_options.hpp>
 #include <curl/curl.h>
@@ -17,6 +18,7 @@
     po::options_description described("toucan-scenario FILE [options]");
     auto add = described.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("file", po::value(&options.file)->required(), "scenario (YAML)");
     add("seed", po::value(&options.seed), "seed of all random choices");
     add("without", po::value(&options.without),
@@ -38,6 +40,11 @@
             std::cout << described;
             return 0;
         }
+        if (values.count("version") > 0)
+        {
+            std::cout << "toucan-scenario " << toucanlever::version << "\n";
+            return 0;
+        }
         po::notify(values);
         options.bin =
             std::filesystem::canonical("/proc/self/exe").parent_path().string();
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -6,6 +6,7 @@
 
 #include "toucanlever/core/error.hpp"
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/core/version.hpp"
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -28,6 +29,7 @@
         "toucan-standin platform|workers|runners|relay");
     auto add = described.add_options();
     add("help", "print this text");
+    add("version", "print the version");
     add("role", po::value(&into.role)->required(), "what to stand in for");
     add("address", po::value(&into.platform.address)->required(), "IP:PORT");
     add("instances", po::value(&into.platform.instances_file),
@@ -97,6 +99,11 @@
             std::cout << described;
             return 0;
         }
+        if (values.count("version") > 0)
+        {
+            std::cout << "toucan-standin " << toucanlever::version << "\n";
+            return 0;
+        }
         po::notify(values);
         run(chosen);
         return 0;
--- a/tests/unit/http_platform.tests.cpp
+++ b/tests/unit/http_platform.tests.cpp
@@ -1,6 +1,7 @@
 #include "toucanlever/platform/http_platform.hpp"
 
 #include "toucanlever/http/server.hpp"
+#include "toucanlever/platform/http_workers.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -21,6 +22,13 @@
         http_request request, std::shared_ptr<http_exchange> exchange) override
     {
         http_response response;
+        if (!this->garbage.empty())
+        {
+            response.status = this->status;
+            response.body = this->garbage;
+            exchange->answer(std::move(response));
+            return;
+        }
         if (!this->tag.empty())
         {
             response.headers.push_back({"ETag", this->tag});
@@ -40,6 +48,9 @@
 
     std::size_t instances = 2;
     std::string tag = "\"one\"";
+    /// Answers everything with this instead, when set.
+    std::string garbage;
+    int status = 200;
     int not_modified = 0;
 };
 
@@ -113,3 +124,67 @@
 
     cr_assert(eq(sz, bench.list()->size(), 3));
 }
+
+namespace
+{
+
+/// Calls `send` with a callback and waits until it was called.
+template <typename Result, typename Send>
+Result answer_of(event_loop& loop, Send send)
+{
+    std::optional<Result> got;
+    send([&got](Result const& result) { got = result; });
+    for (int i = 0; i < max_polls && !got; ++i)
+    {
+        loop.run_ready();
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    cr_assert(got.has_value());
+    return *got;
+}
+
+char const* const wrong_shapes[] = {"", "nul", "7", "[]", "{}", "\xff\xfe",
+    R"({"instances":7,"rows":7,"epoch":"x","tasks":{},"key":1})",
+    R"({"instances":[{"id":5}],"rows":[7],"epoch":[],"tasks":[3],"key":{}})"};
+
+} // namespace
+
+Test(http_platform, takes_an_answer_of_a_wrong_shape_for_no_answer)
+{
+    platform_bench bench("127.78.1.4:7990");
+    for (char const* body : wrong_shapes)
+    {
+        // An empty body is sent as one space: empty means no garbage here.
+        bench.handler.garbage = *body == '\0' ? " " : body;
+        bench.handler.status = 200;
+        cr_assert(bench.list() == nullptr, "%s", body);
+        auto rows = answer_of<std::optional<std::vector<table_row>>>(bench.loop,
+            [&bench](auto done) { bench.platform.scan("p", done); });
+        cr_assert(not rows.has_value(), "%s", body);
+        bench.handler.status = 409;
+        auto commit = answer_of<commit_result>(bench.loop,
+            [&bench](auto done) { bench.platform.commit({}, done); });
+        cr_assert(commit.outcome == commit_outcome::in_doubt, "%s", body);
+    }
+}
+
+Test(http_workers, takes_an_answer_of_a_wrong_shape_for_no_answer)
+{
+    platform_bench bench("127.78.1.5:7990");
+    http_workers workers(bench.client, milliseconds(5000));
+    std::string address = "http://127.78.1.5:7990/w/w1";
+    for (char const* body : wrong_shapes)
+    {
+        if (body == std::string("{}"))
+        {
+            continue;
+        }
+        bench.handler.garbage = *body == '\0' ? " " : body;
+        auto grant = answer_of<control_grant>(bench.loop,
+            [&](auto done) { workers.acquire(address, "s", 1000, done); });
+        cr_assert(grant.answer == worker_answer::in_doubt, "%s", body);
+        auto follow = answer_of<follow_result>(
+            bench.loop, [&](auto done) { workers.follow(address, {}, done); });
+        cr_assert(follow.answer == worker_answer::in_doubt, "%s", body);
+    }
+}
