What needs a silent table service is refused at once

Beside it: unit tests listened at fixed addresses, so two runs on one machine, or one beside a scenario at the same block, could fail each other.

Each unit test takes an address block of its own.

--- a/include/toucanlever/control/journal.hpp
+++ b/include/toucanlever/control/journal.hpp
@@ -158,8 +158,12 @@
         this->tuning.interval = interval;
     }
 
-    /// True while the last attempt was not answered.
-    bool store_is_silent() const { return this->failures > 0; }
+    /// True while the last attempt was not answered, or no call to the table
+    /// service is.
+    bool store_is_silent() const
+    {
+        return this->failures > 0 || this->table.is_silent();
+    }
     std::uint64_t commits() const { return this->next_batch - 1; }
 
     /// Items that wait for the batch on its way.
--- a/include/toucanlever/core/dependency_watch.hpp
+++ b/include/toucanlever/core/dependency_watch.hpp
@@ -19,12 +19,12 @@
     void answered();
     void failed(std::string_view reason);
 
-    bool is_lost() const { return this->failures > 0; }
+    /// Calls that failed since the last that did not.
+    std::uint64_t failed_calls() const { return this->failures; }
 
 private:
     std::string dependency;
     std::string peer;
-    // Calls that failed since the last that did not.
     std::uint64_t failures = 0;
 };
 
--- a/include/toucanlever/platform/http_platform.hpp
+++ b/include/toucanlever/platform/http_platform.hpp
@@ -23,6 +23,7 @@
 
     void commit(transaction const& work, commit_callback done) override;
     void scan(std::string const& prefix, rows_callback done) override;
+    bool is_silent() const override;
     void list(list_callback done) override;
 
 private:
--- a/include/toucanlever/platform/table_service.hpp
+++ b/include/toucanlever/platform/table_service.hpp
@@ -80,6 +80,10 @@
 
     /// All rows whose key begins with `prefix`, in the order of the keys.
     virtual void scan(std::string const& prefix, rows_callback done) = 0;
+
+    /// True while calls go unanswered, also those of others in this process:
+    /// what needs the service had better be refused at once.
+    virtual bool is_silent() const = 0;
 };
 
 /// The platform's list, whole.
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -15,6 +15,9 @@
 constexpr int http_conflict = 409;
 constexpr int http_not_modified = 304;
 constexpr int http_server_error = 500;
+// Calls that fail in a row before the service counts as silent: one may be
+// lost alone; some four are made a second.
+constexpr std::uint64_t silent_after = 2;
 constexpr int page_rows = 500;
 
 std::string escape_query(std::string const& text)
@@ -137,6 +140,11 @@
         [done](http_result const& result) { done(to_commit_result(result)); });
 }
 
+bool http_platform::is_silent() const
+{
+    return this->watch.failed_calls() >= silent_after;
+}
+
 void http_platform::scan(std::string const& prefix, rows_callback done)
 {
     this->scan_page(prefix, "", {}, std::move(done));
--- a/tests/unit/fake_table.hpp
+++ b/tests/unit/fake_table.hpp
@@ -46,6 +46,8 @@
         done(found);
     }
 
+    bool is_silent() const override { return this->silent; }
+
     void set(std::string const& key, std::string const& value)
     {
         table_row& row = this->rows[key];
@@ -58,6 +60,7 @@
     int attempts = 0;
     int drop_requests = 0;
     int lose_answers = 0;
+    bool silent = false;
     /// Called with each transaction before it is looked at.
     std::function<void(transaction const&)> before_commit;
 
--- a/tests/unit/http_platform.tests.cpp
+++ b/tests/unit/http_platform.tests.cpp
@@ -3,6 +3,8 @@
 #include "toucanlever/http/server.hpp"
 #include "toucanlever/platform/http_workers.hpp"
 
+#include "loopback.hpp"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <thread>
@@ -57,9 +59,9 @@
 class platform_bench
 {
 public:
-    explicit platform_bench(std::string const& address)
-        : server(this->loop, address, this->handler, http_limits{})
-        , platform(this->client, address, milliseconds(5000))
+    platform_bench()
+        : server(this->loop, this->address, this->handler, http_limits{})
+        , platform(this->client, this->address, milliseconds(5000))
     {
     }
 
@@ -81,6 +83,7 @@
         return got;
     }
 
+    std::string const address = own_ip(1) + ":7990";
     steady_clock time;
     event_loop loop{this->time};
     list_handler handler;
@@ -93,7 +96,7 @@
 
 Test(http_platform, gives_the_same_list_again_while_its_tag_stands)
 {
-    platform_bench bench("127.78.1.1:7990");
+    platform_bench bench;
 
     auto first = bench.list();
     auto second = bench.list();
@@ -105,7 +108,7 @@
 
 Test(http_platform, reads_the_list_again_when_its_tag_has_changed)
 {
-    platform_bench bench("127.78.1.2:7990");
+    platform_bench bench;
 
     bench.list();
     bench.handler.tag = "\"two\"";
@@ -116,7 +119,7 @@
 
 Test(http_platform, asks_for_a_list_without_a_tag_whole_each_time)
 {
-    platform_bench bench("127.78.1.3:7990");
+    platform_bench bench;
     bench.handler.tag.clear();
 
     bench.list();
@@ -151,7 +154,7 @@
 
 Test(http_platform, takes_an_answer_of_a_wrong_shape_for_no_answer)
 {
-    platform_bench bench("127.78.1.4:7990");
+    platform_bench bench;
     for (char const* body : wrong_shapes)
     {
         // An empty body is sent as one space: empty means no garbage here.
@@ -170,9 +173,9 @@
 
 Test(http_workers, takes_an_answer_of_a_wrong_shape_for_no_answer)
 {
-    platform_bench bench("127.78.1.5:7990");
+    platform_bench bench;
     http_workers workers(bench.client, milliseconds(5000));
-    std::string address = "http://127.78.1.5:7990/w/w1";
+    std::string address = "http://" + bench.address + "/w/w1";
     for (char const* body : wrong_shapes)
     {
         if (body == std::string("{}"))
@@ -188,3 +191,20 @@
         cr_assert(follow.answer == worker_answer::in_doubt, "%s", body);
     }
 }
+
+Test(http_platform, is_silent_after_two_calls_without_an_answer_until_the_next)
+{
+    platform_bench bench;
+    cr_assert(bench.list() != nullptr);
+    bench.handler.garbage = "out of order";
+    bench.handler.status = 503;
+
+    bench.list();
+    cr_assert(not bench.platform.is_silent());
+    bench.list();
+    cr_assert(bench.platform.is_silent());
+
+    bench.handler.garbage.clear();
+    bench.list();
+    cr_assert(not bench.platform.is_silent());
+}
--- a/tests/unit/http_server.tests.cpp
+++ b/tests/unit/http_server.tests.cpp
@@ -1,6 +1,8 @@
 #include "toucanlever/http/server.hpp"
 
+#include "loopback.hpp"
 #include <arpa/inet.h>
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 #include <sys/socket.h>
@@ -30,8 +32,7 @@
 class server_bench
 {
 public:
-    explicit server_bench(int last)
-        : address("127.78.0." + std::to_string(last))
+    server_bench()
     {
         http_limits limits;
         limits.max_body_bytes = 1000;
@@ -69,7 +70,7 @@
     }
 
 private:
-    std::string address;
+    std::string const address = own_ip(1);
     steady_clock time;
     event_loop loop{this->time};
     echo_handler handler;
@@ -88,7 +89,7 @@
 
 Test(http_server, a_whole_body_comes_back_byte_for_byte)
 {
-    server_bench bench(1);
+    server_bench bench;
     std::string body("a\0b\xff", 4);
     std::string answer = bench.send(post(body, body.size()));
     cr_assert(answer.find(body) != std::string::npos);
@@ -96,7 +97,7 @@
 
 Test(http_server, a_body_over_the_limit_is_refused_with_413)
 {
-    server_bench bench(2);
+    server_bench bench;
     std::string answer = bench.send(post(std::string(2000, 'x'), 2000));
     cr_assert(answer.find("413") != std::string::npos);
     cr_assert(answer.find("too-large") != std::string::npos);
@@ -104,7 +105,7 @@
 
 Test(http_server, a_caller_that_stops_halfway_is_let_go, .timeout = 60)
 {
-    server_bench bench(3);
+    server_bench bench;
     cr_assert(bench.send(post("half", 900)).find("200") == std::string::npos);
     cr_assert(bench.send("POST / HT").find("200") == std::string::npos);
 }
--- a/tests/unit/scheduler.tests.cpp
+++ b/tests/unit/scheduler.tests.cpp
@@ -2,6 +2,7 @@
 
 #include "fake_table.hpp"
 #include "fake_worker.hpp"
+#include "loopback.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -101,8 +102,7 @@
 class scheduler_bench
 {
 public:
-    explicit scheduler_bench(std::string const& net)
-        : net(net)
+    scheduler_bench()
     {
         nlohmann::json snapshot{{"revision", 1}, {"change_id", "c"},
             {"author", "test"}, {"preset", "ordinary"}, {"yaml", config_yaml}};
@@ -110,8 +110,8 @@
         this->table.set("config/head/revision", "1");
         this->settings.name = "s";
         this->settings.domain = "a";
-        this->settings.address = net + ".1:7300";
-        this->settings.peers = {net + ".2:7300"};
+        this->settings.address = own_ip(1) + ":7300";
+        this->settings.peers = {this->peer_address};
     }
 
     void begin()
@@ -225,7 +225,7 @@
             nlohmann::json(entries).dump());
     }
 
-    std::string net;
+    std::string const peer_address = own_ip(2) + ":7300";
     manual_clock time;
     event_loop loop{this->time};
     fake_table table;
@@ -240,7 +240,7 @@
 
 Test(scheduler, takes_jobs_from_a_peer_and_names_itself_as_their_owner)
 {
-    scheduler_bench bench("127.11.1");
+    scheduler_bench bench;
     bench.begin();
     bench.set_fence("a.peer.1", "active");
 
@@ -252,7 +252,7 @@
 
 Test(scheduler, takes_nothing_from_a_peer_that_was_succeeded)
 {
-    scheduler_bench bench("127.11.2");
+    scheduler_bench bench;
     bench.begin();
     bench.set_fence("a.peer.1", "active");
     bench.set_fence("a.peer.1", "fenced", "a.other.1");
@@ -265,10 +265,10 @@
 
 Test(scheduler, records_the_incarnation_that_did_take_its_job)
 {
-    scheduler_bench bench("127.11.3");
+    scheduler_bench bench;
     scripted_peer peer;
     peer.owner = "a.peer.2";
-    rpc_server server(bench.loop, "127.11.3.2:7300", peer, rpc_timing{});
+    rpc_server server(bench.loop, bench.peer_address, peer, rpc_timing{});
     bench.begin();
 
     std::string job = bench.submit();
@@ -278,10 +278,10 @@
 
 Test(scheduler, knows_where_a_job_went_from_a_peer_that_it_then_succeeded)
 {
-    scheduler_bench bench("127.11.6");
+    scheduler_bench bench;
     scripted_peer peer;
     auto server = std::make_unique<rpc_server>(
-        bench.loop, "127.11.6.2:7300", peer, rpc_timing{});
+        bench.loop, bench.peer_address, peer, rpc_timing{});
     bench.begin();
     std::string job = bench.submit();
     bench.pass(milliseconds(500));
@@ -303,10 +303,10 @@
 
 Test(scheduler, owns_a_job_again_when_it_succeeds_the_peer_that_just_took_it)
 {
-    scheduler_bench bench("127.11.10");
+    scheduler_bench bench;
     scripted_peer peer;
     peer.keeps_silent = true;
-    rpc_server server(bench.loop, "127.11.10.2:7300", peer, rpc_timing{});
+    rpc_server server(bench.loop, bench.peer_address, peer, rpc_timing{});
     bench.begin();
     std::string job = bench.submit();
     bench.pass(milliseconds(500));
@@ -331,7 +331,7 @@
 
 Test(scheduler, copies_what_it_took_over_and_then_deletes_that_journal)
 {
-    scheduler_bench bench("127.11.7");
+    scheduler_bench bench;
     journal_entry waiting;
     waiting.job_id = "a.first.1.1";
     waiting.spec.name = "render";
@@ -363,7 +363,7 @@
 
 Test(scheduler, deletes_the_fence_row_of_a_predecessor_after_an_hour)
 {
-    scheduler_bench bench("127.11.8");
+    scheduler_bench bench;
     bench.set_fence("a.first.1", "released");
     bench.begin();
     bench.pass(milliseconds(3000));
@@ -378,7 +378,7 @@
 
 Test(scheduler, gives_way_when_its_row_is_gone)
 {
-    scheduler_bench bench("127.11.9");
+    scheduler_bench bench;
     bench.begin();
 
     bench.table.rows.erase(journal::fence_row(bench.state().incarnation));
@@ -389,7 +389,7 @@
 
 Test(scheduler, gives_way_when_it_finds_itself_succeeded)
 {
-    scheduler_bench bench("127.11.4");
+    scheduler_bench bench;
     bench.begin();
 
     bench.set_fence(bench.state().incarnation, "fenced", "a.other.1");
@@ -401,7 +401,7 @@
 Test(
     scheduler, succeeds_those_that_its_predecessor_succeeded_at_the_last_moment)
 {
-    scheduler_bench bench("127.11.5");
+    scheduler_bench bench;
     bench.set_fence("a.first.1", "active");
     bench.set_fence("a.second.1", "released");
     bool once = false;
@@ -428,7 +428,7 @@
 
 Test(scheduler, leaves_a_job_to_the_takeover_that_has_yet_to_ask_its_workers)
 {
-    scheduler_bench bench("127.11.11");
+    scheduler_bench bench;
     bench.list_worker("w2", "b");
     // The second accepted the job and gave it to the first, which may have
     // started it on a worker.
@@ -464,12 +464,12 @@
 
 Test(scheduler, succeeds_nobody_for_silence_during_its_own_pause)
 {
-    scheduler_bench bench("127.11.12");
+    scheduler_bench bench;
     bench.set_fence("a.peer.1", "active");
     bench.begin();
     // Not heard so far; its sign comes while this process stands still.
     scripted_peer peer;
-    rpc_server server(bench.loop, "127.11.12.2:7300", peer, rpc_timing{});
+    rpc_server server(bench.loop, bench.peer_address, peer, rpc_timing{});
 
     bench.time.advance(std::chrono::seconds(20));
     bench.pass(milliseconds(3000));
@@ -480,7 +480,7 @@
 
 Test(scheduler, keeps_what_it_knows_of_its_own_tasks_when_a_worker_names_them)
 {
-    scheduler_bench bench("127.11.13");
+    scheduler_bench bench;
     bench.list_worker("w1", "a");
     bench.begin();
     job_spec gang;
@@ -510,7 +510,7 @@
 
 Test(scheduler, goes_on_from_the_checkpoint_that_its_predecessor_recorded)
 {
-    scheduler_bench bench("127.11.14");
+    scheduler_bench bench;
     bench.list_worker("w1", "a");
     journal_entry accepted;
     accepted.job_id = "a.first.1.1";
@@ -540,11 +540,11 @@
 
 Test(scheduler, gives_urgent_work_to_a_peer_that_can_stop_what_it_cannot)
 {
-    scheduler_bench bench("127.11.15");
+    scheduler_bench bench;
     scripted_peer peer;
     peer.full = true;
     peer.domain = "b";
-    rpc_server server(bench.loop, "127.11.15.2:7300", peer, rpc_timing{});
+    rpc_server server(bench.loop, bench.peer_address, peer, rpc_timing{});
     bench.list_worker("w1", "a");
     bench.begin();
     job_spec fills;
@@ -566,13 +566,13 @@
 
 Test(scheduler, asks_the_owner_of_what_fills_its_workers_for_urgent_work)
 {
-    scheduler_bench bench("127.11.16");
+    scheduler_bench bench;
     scripted_peer peer;
     // Of another domain: it would get the rack otherwise.
     peer.domain = "b";
     peer.full = true;
     peer.lent = {"w1", {8000, 1 << 20, 0}};
-    rpc_server server(bench.loop, "127.11.16.2:7300", peer, rpc_timing{});
+    rpc_server server(bench.loop, bench.peer_address, peer, rpc_timing{});
     bench.list_worker("w1", "a");
     bench.worker.foreign = {7000, 1 << 20, 0};
     bench.begin();
@@ -597,7 +597,7 @@
 
 Test(scheduler, stops_its_batch_work_for_the_controller_of_the_worker)
 {
-    scheduler_bench bench("127.11.17");
+    scheduler_bench bench;
     bench.list_worker("w1", "a");
     bench.begin();
     job_spec job;
@@ -623,7 +623,7 @@
 
 Test(scheduler, can_stop_what_it_took_over_for_urgent_work)
 {
-    scheduler_bench bench("127.11.18");
+    scheduler_bench bench;
     bench.list_worker("w1", "a");
     journal_entry accepted;
     accepted.job_id = "a.first.1.1";
@@ -657,3 +657,32 @@
     cr_assert(eq(str, bench.worker.stops[0], report.id));
     cr_assert(bench.worker.last_stop == stop_kind::at_checkpoint);
 }
+
+Test(scheduler, refuses_what_needs_a_table_service_that_it_knows_to_be_silent)
+{
+    scheduler_bench bench;
+    bench.begin();
+    bench.table.silent = true;
+    submit_request request;
+    request.key = "k";
+    request.spec.customer = "c";
+
+    rpc_result job = bench.ask(message_type::submit, pack(request));
+    rpc_result claim = bench.ask(
+        message_type::claim, pack(claim_request{"c", "k", key_record{}, 0}));
+
+    for (rpc_result const& each : {job, claim})
+    {
+        try
+        {
+            each.as<operator_reply>(message_type::ack, "s");
+            cr_assert(false);
+        }
+        catch (error const& problem)
+        {
+            cr_assert(problem.code == error_code::unavailable);
+            cr_assert(problem.ran == run_state::no);
+        }
+    }
+    cr_assert(eq(sz, bench.rows_of("key/"), 0));
+}
