Scenario callers keep their rate while other groups start

Cause: storm took between 21 and 127 s for the same load, near its limit of 120 s for all jobs to end. A call's due time was computed from the distance of record indexes, and groups that start in the background reserve records at the same time, so the indexes of one group have gaps of other groups' sizes: the 40th call of a group at 8 a second could be due after 80 s instead of 5.

Ruled out: the system (no call took longer than 2.2 s, no request waited), the machine (the same with nothing beside it).

Change: the due time follows the position within the group.

The rated load now falls into the faults, as the file says.

--- a/tests/scenario/callers.cpp
+++ b/tests/scenario/callers.cpp
@@ -1,5 +1,6 @@
 #include "callers.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 
@@ -110,15 +111,18 @@
         indexes.push_back(this->reserve(group));
     }
     auto begin = steady::now();
-    std::size_t first = indexes.empty() ? 0 : indexes.front();
     this->parallel(indexes, group.threads,
-        [this, &group, begin, first](std::size_t index)
+        [this, &group, &indexes, begin](std::size_t index)
         {
             auto due = begin;
             if (group.rate_per_s > 0.0)
             {
+                // Other groups reserve at the same time: indexes have gaps.
+                auto before =
+                    std::lower_bound(indexes.begin(), indexes.end(), index) -
+                    indexes.begin();
                 std::chrono::duration<double> after(
-                    static_cast<double>(index - first) / group.rate_per_s);
+                    static_cast<double>(before) / group.rate_per_s);
                 due += std::chrono::duration_cast<steady::duration>(after);
                 std::this_thread::sleep_until(due);
             }
