--- a/include/toucanlever/control/job_controller.hpp
+++ b/include/toucanlever/control/job_controller.hpp
@@ -8,6 +8,7 @@
 
 #include "toucanlever/control/admission.hpp"
 #include "toucanlever/control/attached_callers.hpp"
+#include "toucanlever/control/job_offers.hpp"
 #include "toucanlever/control/job_record.hpp"
 #include "toucanlever/control/job_table.hpp"
 #include "toucanlever/control/job_waiters.hpp"
@@ -82,19 +83,8 @@
     /// idempotent.
     void release(std::set<std::string> const& ids, bool certain);
 
-    /// Takes a waiting job out of the queue while it is offered; nothing when
-    /// it does not wait any more.
-    std::optional<offered_job> begin_offer(std::string const& id);
-
-    /// The offered job is another incarnation's now. Nothing happens, here
-    /// and in `offer_returned`, when the job came back by a succession since.
-    void offer_taken(offered_job const& offered, std::string const& owner);
-
-    /// It is certain that nobody took it: it waits here again.
-    void offer_returned(offered_job const& offered, std::int64_t move_version);
-
-    /// A job that a peer handed over and that is durable here.
-    void receive(offered_job const& offered);
+    /// The records' side of handing jobs over.
+    job_offers& offers() { return this->offering; }
 
     job_table const& records() const { return this->jobs; }
     std::string explain(std::string const& job_id) const;
@@ -137,7 +127,6 @@
     void stop_running_tasks(
         job_record& job, stop_kind how = stop_kind::at_once);
     void lose_unreported(job_record& job);
-    job_record* find_offered(offered_job const& offered);
     void review();
     void count_failure(job_record& job, std::string const& worker);
     void make_way(std::string const& id);
@@ -155,6 +144,7 @@
     std::uint64_t next_sequence = 1;
     job_table jobs;
     admission admitted;
+    job_offers offering;
     attached_callers attaching;
     event_loop::timer_id timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/include/toucanlever/platform/instance.hpp
+++ b/include/toucanlever/platform/instance.hpp
@@ -18,7 +18,9 @@
 {
     entry,
     worker,
-    runner
+    runner,
+    /// Of a kind that this version does not know: nothing is sent there.
+    other
 };
 
 template <>
@@ -27,7 +29,8 @@
     static constexpr std::array rows{
         enum_name<instance_role>{instance_role::entry, "entry"},
         enum_name<instance_role>{instance_role::worker, "worker"},
-        enum_name<instance_role>{instance_role::runner, "runner"}};
+        enum_name<instance_role>{instance_role::runner, "runner"},
+        enum_name<instance_role>{instance_role::other, "other"}};
 };
 
 /// One row of the platform's list.
@@ -62,7 +65,7 @@
 inline void from_json(nlohmann::json const& json, instance_role& value)
 {
     value = parse_enum<instance_role>(json.get<std::string>())
-                .value_or(instance_role::worker);
+                .value_or(instance_role::other);
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(instance, id, role, domain,
--- a/src/control/handover_controller.cpp
+++ b/src/control/handover_controller.cpp
@@ -113,7 +113,7 @@
         {
             continue;
         }
-        if (auto offered = this->jobs.begin_offer(job.id))
+        if (auto offered = this->jobs.offers().begin(job.id))
         {
             best->free -= times(job.need, job.tasks);
             batches[best->incarnation].push_back(std::move(*offered));
@@ -178,7 +178,7 @@
         if (taken)
         {
             metrics().count("jobs_handed_over");
-            this->jobs.offer_taken(job, reply.owner);
+            this->jobs.offers().taken(job, reply.owner);
         }
         else
         {
@@ -204,10 +204,10 @@
                 std::int64_t version = result.outcome == append_outcome::durable
                                            ? job.move_version + 1
                                            : result.existing_version;
-                this->jobs.offer_returned(job, version);
+                this->jobs.offers().returned(job, version);
                 return;
             }
-            this->jobs.offer_taken(job, result.existing.claimant);
+            this->jobs.offers().taken(job, result.existing.claimant);
         });
 }
 
@@ -238,7 +238,7 @@
             {
                 if (result.outcome == append_outcome::durable)
                 {
-                    this->jobs.receive(job);
+                    this->jobs.offers().receive(job);
                     reply->taken.push_back(job.id);
                 }
                 if (--*awaited == 0)
--- a/src/control/job_controller.cpp
+++ b/src/control/job_controller.cpp
@@ -68,6 +68,9 @@
     , waiters(loop)
     , jobs(loop.time_source(), limits.keep_ended)
     , admitted(configuration, this->jobs, limits.max_queued)
+    , offering(loop, log, this->jobs, this->waiters, placement,
+          [this](std::string const& id)
+          { this->enqueue_later(id, milliseconds(0)); })
     , attaching(
           loop, [this](std::string const& id) { return this->withdraw(id); })
 {
@@ -581,80 +584,6 @@
     this->waiters.answer(view_of(job));
 }
 
-std::optional<offered_job> job_controller::begin_offer(std::string const& id)
-{
-    job_record* job = this->jobs.find(id);
-    if (job == nullptr || job->recording || job->cancel_requested ||
-        job->attached || !this->placement.remove(id))
-    {
-        return std::nullopt;
-    }
-    job->recording = true;
-    job->offered = true;
-    offered_job offered;
-    offered.id = id;
-    offered.spec = job->spec;
-    offered.attempt = job->attempt;
-    offered.failures = job->failures;
-    offered.tries = job->tries;
-    offered.checkpoint = job->checkpoint;
-    offered.waiting_us = (this->loop.now() - job->accepted).count();
-    offered.move_version = job->move_version;
-    return offered;
-}
-
-job_record* job_controller::find_offered(offered_job const& offered)
-{
-    job_record* job = this->jobs.find(offered.id);
-    bool open = job != nullptr && job->offered &&
-                job->move_version == offered.move_version;
-    return open ? job : nullptr;
-}
-
-void job_controller::offer_taken(
-    offered_job const& offered, std::string const& owner)
-{
-    job_record* job = this->find_offered(offered);
-    if (job == nullptr)
-    {
-        return;
-    }
-    job->offered = false;
-    job->moved_to = owner;
-    job->spec.input.clear();
-    this->jobs.close(*job);
-    this->waiters.answer(view_of(*job));
-    this->log.append(moved_entry(job->id, owner), [](append_result const&) {});
-}
-
-void job_controller::offer_returned(
-    offered_job const& offered, std::int64_t move_version)
-{
-    job_record* job = this->find_offered(offered);
-    if (job == nullptr)
-    {
-        return;
-    }
-    job->offered = false;
-    job->move_version = move_version;
-    job->recording = false;
-    this->enqueue_later(job->id, milliseconds(0));
-}
-
-void job_controller::receive(offered_job const& offered)
-{
-    job_record job;
-    job.id = offered.id;
-    job.spec = offered.spec;
-    job.attempt = offered.attempt;
-    job.failures = offered.failures;
-    job.tries = offered.tries;
-    job.checkpoint = offered.checkpoint;
-    job.accepted = this->loop.now() - microseconds(offered.waiting_us);
-    job.move_version = offered.move_version + 1;
-    this->enqueue(this->jobs.insert(std::move(job)));
-}
-
 void job_controller::ack_tasks(job_record& job)
 {
     for (job_task const& task : job.tasks)
--- /dev/null
+++ b/src/control/job_offers.cpp
@@ -0,0 +1,90 @@
+#include "toucanlever/control/job_offers.hpp"
+
+namespace toucanlever
+{
+
+job_offers::job_offers(event_loop& loop, journal& log, job_table& jobs,
+    job_waiters& waiters, placement_controller& placement,
+    std::function<void(std::string const&)> requeue)
+    : loop(loop)
+    , log(log)
+    , jobs(jobs)
+    , waiters(waiters)
+    , placement(placement)
+    , requeue(std::move(requeue))
+{
+}
+
+std::optional<offered_job> job_offers::begin(std::string const& id)
+{
+    job_record* job = this->jobs.find(id);
+    if (job == nullptr || job->recording || job->cancel_requested ||
+        job->attached || !this->placement.remove(id))
+    {
+        return std::nullopt;
+    }
+    job->recording = true;
+    job->offered = true;
+    offered_job offered;
+    offered.id = id;
+    offered.spec = job->spec;
+    offered.attempt = job->attempt;
+    offered.failures = job->failures;
+    offered.tries = job->tries;
+    offered.checkpoint = job->checkpoint;
+    offered.waiting_us = (this->loop.now() - job->accepted).count();
+    offered.move_version = job->move_version;
+    return offered;
+}
+
+job_record* job_offers::find_open(offered_job const& offered)
+{
+    job_record* job = this->jobs.find(offered.id);
+    bool open = job != nullptr && job->offered &&
+                job->move_version == offered.move_version;
+    return open ? job : nullptr;
+}
+
+void job_offers::taken(offered_job const& offered, std::string const& owner)
+{
+    job_record* job = this->find_open(offered);
+    if (job == nullptr)
+    {
+        return;
+    }
+    job->offered = false;
+    job->moved_to = owner;
+    job->spec.input.clear();
+    this->jobs.close(*job);
+    this->waiters.answer(view_of(*job));
+    this->log.append(moved_entry(job->id, owner), [](append_result const&) {});
+}
+
+void job_offers::returned(offered_job const& offered, std::int64_t move_version)
+{
+    job_record* job = this->find_open(offered);
+    if (job == nullptr)
+    {
+        return;
+    }
+    job->offered = false;
+    job->move_version = move_version;
+    job->recording = false;
+    this->requeue(job->id);
+}
+
+void job_offers::receive(offered_job const& offered)
+{
+    job_record job;
+    job.id = offered.id;
+    job.spec = offered.spec;
+    job.attempt = offered.attempt;
+    job.failures = offered.failures;
+    job.tries = offered.tries;
+    job.checkpoint = offered.checkpoint;
+    job.accepted = this->loop.now() - microseconds(offered.waiting_us);
+    job.move_version = offered.move_version + 1;
+    this->requeue(this->jobs.insert(std::move(job)).id);
+}
+
+} // namespace toucanlever
--- a/src/control/membership_controller.cpp
+++ b/src/control/membership_controller.cpp
@@ -16,7 +16,8 @@
 
 bool is_routed(instance const& each)
 {
-    return each.role != instance_role::worker;
+    return each.role == instance_role::entry ||
+           each.role == instance_role::runner;
 }
 
 std::uint64_t digest_of(std::vector<instance> const& list)
--- a/tests/standin/relay_role.cpp
+++ b/tests/standin/relay_role.cpp
@@ -3,7 +3,6 @@
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
 #include <ace/Reactor.h>
-#include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
 #include <algorithm>
@@ -151,49 +150,6 @@
     this->reactor()->cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
 }
 
-/// Accepts on one relay's address.
-class relay_acceptor final : public ACE_Event_Handler
-{
-public:
-    relay_acceptor(ACE_Reactor* reactor, relay_role& role, relay_path& path,
-        std::string const& address)
-        : ACE_Event_Handler(reactor)
-        , role(role)
-        , path(path)
-    {
-        ACE_INET_Addr local(address.c_str());
-        this->acceptor.open(local, 1);
-        reactor->register_handler(this, ACE_Event_Handler::ACCEPT_MASK);
-    }
-
-    ~relay_acceptor() override
-    {
-        this->reactor()->remove_handler(this,
-            ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
-        this->acceptor.close();
-    }
-
-    ACE_HANDLE get_handle() const override
-    {
-        return this->acceptor.get_handle();
-    }
-
-    int handle_input(ACE_HANDLE) override
-    {
-        ACE_SOCK_Stream stream;
-        if (this->acceptor.accept(stream) == 0)
-        {
-            this->role.accepted(this->path, stream.get_handle());
-        }
-        return 0;
-    }
-
-private:
-    relay_role& role;
-    relay_path& path;
-    ACE_SOCK_Acceptor acceptor;
-};
-
 relay_role::relay_role(toucanlever::event_loop& loop,
     std::string const& address, std::string const& file)
     : loop(loop)
@@ -204,8 +160,10 @@
         auto path = std::make_unique<relay_path>();
         path->name = each["name"];
         path->target = each["target"];
-        path->acceptor = std::make_unique<relay_acceptor>(
-            &loop.reactor(), *this, *path, each["listen"]);
+        path->acceptor = std::make_unique<toucanlever::link_acceptor>(loop,
+            each["listen"].get<std::string>(),
+            [this, path = path.get()](int socket, std::string const&)
+            { this->accepted(*path, socket); });
         this->paths.push_back(std::move(path));
     }
 }
--- a/tests/standin/relay_role.hpp
+++ b/tests/standin/relay_role.hpp
@@ -4,6 +4,8 @@
 
 #include "role.hpp"
 
+#include "toucanlever/wire/link.hpp"
+
 #include <map>
 #include <memory>
 #include <string>
@@ -20,7 +22,7 @@
     std::string name;
     std::string target;
     bool cut = false;
-    std::unique_ptr<class relay_acceptor> acceptor;
+    std::unique_ptr<toucanlever::link_acceptor> acceptor;
     std::vector<std::shared_ptr<relay_connection>> connections;
 };
 
--- a/tests/unit/http_platform.tests.cpp
+++ b/tests/unit/http_platform.tests.cpp
@@ -208,3 +208,16 @@
     bench.list();
     cr_assert(not bench.platform.is_silent());
 }
+
+Test(http_platform, gives_no_work_to_instances_of_a_role_it_does_not_know)
+{
+    platform_bench bench;
+    bench.handler.garbage =
+        R"({"instances":[{"id":"x","role":"archive"},{"id":"w","role":"worker"}]})";
+
+    auto list = bench.list();
+
+    cr_assert(eq(sz, list->size(), 2));
+    cr_assert(list->at(0).role == instance_role::other);
+    cr_assert(list->at(1).role == instance_role::worker);
+}
