Urgent work that nothing helps no longer starves large jobs

An urgent job that no stop can help, and that may wait for hours, thus kept large jobs from ever having a worker set aside.

Ruled out: removing only the guard; reservations would still be ended at each look for room.

Change: reservations are taken away for a second look, and those whose worker did not help are put back. A borrowed worker is freed of such a job by itself.

--- a/src/policy/weighted_share.cpp
+++ b/src/policy/weighted_share.cpp
@@ -94,18 +94,81 @@
 }
 
 /// Where nothing else helps, workers that are set aside for jobs that only
-/// have waited long are used, too.
+/// have waited long are used, too; those that do not help stay set aside.
 std::vector<std::string> weighted_share::make_room_for_urgent(
     cell_view& cell, queued_job const& job, std::int64_t now_us)
 {
     auto victims = this->make_room(cell, job, urgent_rule(), now_us);
-    if (victims.empty() && this->release_passed_over(cell))
+    if (!victims.empty())
     {
-        victims = this->make_room(cell, job, urgent_rule(), now_us);
+        return victims;
+    }
+    auto passed_over = this->take_passed_over(cell);
+    if (passed_over.empty())
+    {
+        return victims;
+    }
+    victims = this->make_room(cell, job, urgent_rule(), now_us);
+    std::uint32_t examined = 0;
+    auto found = cell.tightest(job.need, examined);
+    bool fits = found.has_value() && victims.empty() && job.tasks == 1;
+    worker_slot const fitting = found.value_or(0);
+    for (reservation& each : passed_over)
+    {
+        bool used = std::any_of(each.slots.begin(), each.slots.end(),
+            [&cell, fits, fitting](worker_slot slot)
+            { return cell.at(slot).held_back || (fits && slot == fitting); });
+        if (!used)
+        {
+            this->set_aside(cell, std::move(each));
+        }
     }
     return victims;
 }
 
+/// Ends and returns the reservations of jobs that have waited long.
+std::vector<weighted_share::reservation> weighted_share::take_passed_over(
+    cell_view& cell)
+{
+    std::vector<reservation> taken;
+    for (std::size_t i = this->reservations.size(); i > 0; --i)
+    {
+        if (!this->reservations[i - 1].makes_room)
+        {
+            taken.insert(taken.begin(), this->reservations[i - 1]);
+            this->release(cell, i - 1);
+        }
+    }
+    return taken;
+}
+
+void weighted_share::set_aside(cell_view& cell, reservation made)
+{
+    for (worker_slot slot : made.slots)
+    {
+        cell.hold_back(slot, true);
+    }
+    this->reservations.push_back(std::move(made));
+}
+
+/// Frees the worker from a job that has only waited long; false when it is
+/// held for another reason.
+bool weighted_share::yields(cell_view& cell, worker_slot slot)
+{
+    for (std::size_t i = 0; i < this->reservations.size(); ++i)
+    {
+        reservation const& each = this->reservations[i];
+        bool holds = std::find(each.slots.begin(), each.slots.end(), slot) !=
+                     each.slots.end();
+        if (holds && !each.makes_room)
+        {
+            this->release(cell, i);
+            return true;
+        }
+    }
+    return false;
+}
+
 std::vector<std::string> weighted_share::preempt_for_share(
     cell_view& cell, std::int64_t now_us)
 {
@@ -200,35 +263,21 @@
     for (lent_capacity const& each : lent)
     {
         view_worker const& worker = cell.at(each.slot);
-        bool usable = worker.present && !worker.held_back &&
-                      (worker.free + each.stoppable).fits(job->need);
-        if (!usable)
+        bool usable =
+            worker.present && (worker.free + each.stoppable).fits(job->need);
+        if (!usable || (worker.held_back && !this->yields(cell, each.slot)))
         {
             continue;
         }
         borrowed_room room{
             job->id, each.slot, missing_of(job->need, worker.free)};
-        cell.hold_back(each.slot, true);
-        this->reservations.push_back(
-            {job->id, {each.slot}, true, now_us + borrow_patience_us});
+        this->set_aside(
+            cell, {job->id, {each.slot}, true, now_us + borrow_patience_us});
         return room;
     }
     return std::nullopt;
 }
 
-bool weighted_share::release_passed_over(cell_view& cell)
-{
-    std::size_t before = this->reservations.size();
-    for (std::size_t i = before; i > 0; --i)
-    {
-        if (!this->reservations[i - 1].makes_room)
-        {
-            this->release(cell, i - 1);
-        }
-    }
-    return this->reservations.size() < before;
-}
-
 void weighted_share::release_expired(cell_view& cell, std::int64_t now_us)
 {
     for (std::size_t i = this->reservations.size(); i > 0; --i)
@@ -488,8 +537,7 @@
     std::size_t allowed = std::max<std::size_t>(1, cell.size() / reserved_part);
     queued_job const* job = this->passed_over(now_us);
     bool room = held == 0 || (job != nullptr && held + job->tasks <= allowed);
-    if (job == nullptr || !room || cell.size() <= job->tasks ||
-        this->needs_room())
+    if (job == nullptr || !room || cell.size() <= job->tasks)
     {
         return;
     }
--- a/src/policy/weighted_share.hpp
+++ b/src/policy/weighted_share.hpp
@@ -107,8 +107,9 @@
     queued_job const* passed_over(std::int64_t now_us) const;
     void reserve(cell_view& cell, std::int64_t now_us);
     void release(cell_view& cell, std::size_t index);
-    /// Of jobs that have waited long; false when there are none.
-    bool release_passed_over(cell_view& cell);
+    std::vector<reservation> take_passed_over(cell_view& cell);
+    void set_aside(cell_view& cell, reservation made);
+    bool yields(cell_view& cell, worker_slot slot);
     void release_expired(cell_view& cell, std::int64_t now_us);
     bool has_reservation(std::string const& job_id) const;
 
--- a/tests/unit/policy.tests.cpp
+++ b/tests/unit/policy.tests.cpp
@@ -494,3 +494,69 @@
     cr_assert(policy->awaits_room("urgent"));
     cr_assert(not policy->awaits_room("large"));
 }
+
+Test(weighted_share, urgent_work_that_nothing_helps_leaves_workers_set_aside)
+{
+    auto policy = make_weighted_share();
+    cell_view cell;
+    add_workers(cell, 2, 4000);
+    cell.set_free(0, {2000, 127 * gib, 0});
+    cell.set_free(1, {0, 127 * gib, 0});
+    policy->enqueue(make_job("large", "a", 4000));
+    // Nothing that runs can be stopped, and it fits no worker as it is.
+    auto urgent = make_job("urgent", "b", 3000);
+    urgent.urgent = true;
+    policy->enqueue(urgent);
+
+    for (std::int64_t now = 2'000'000; now < 4'000'000; now += 500'000)
+    {
+        cr_assert(not policy->next(cell, now));
+        cr_assert(policy->preempt(cell, now).empty());
+        cr_assert(policy->awaits_room("large"));
+    }
+}
+
+Test(weighted_share, urgent_work_takes_free_room_of_a_worker_set_aside)
+{
+    auto policy = make_weighted_share();
+    cell_view cell;
+    add_workers(cell, 2, 4000);
+    cell.set_free(0, {2000, 127 * gib, 0});
+    cell.set_free(1, {0, 127 * gib, 0});
+    policy->enqueue(make_job("large", "a", 4000));
+    cr_assert(not policy->next(cell, 2'000'000));
+    cr_assert(policy->awaits_room("large"));
+
+    auto urgent = make_job("urgent", "b", 2000);
+    urgent.urgent = true;
+    policy->enqueue(urgent);
+    cr_assert(not policy->next(cell, 2'000'000));
+    cr_assert(policy->preempt(cell, 2'000'000).empty());
+    auto decision = policy->next(cell, 2'500'000);
+
+    cr_assert(decision.has_value());
+    cr_assert(eq(str, decision->job.id, "urgent"));
+}
+
+Test(weighted_share, urgent_work_borrows_room_on_a_worker_set_aside)
+{
+    auto policy = make_weighted_share();
+    cell_view cell;
+    add_workers(cell, 2, 4000);
+    cell.set_free(0, {1000, 127 * gib, 0});
+    cell.set_free(1, {0, 127 * gib, 0});
+    policy->enqueue(make_job("large", "a", 4000));
+    cr_assert(not policy->next(cell, 2'000'000));
+    cr_assert(cell.at(0).held_back);
+
+    auto urgent = make_job("urgent", "b", 2000);
+    urgent.urgent = true;
+    policy->enqueue(urgent);
+    cr_assert(not policy->next(cell, 2'000'000));
+    cr_assert(policy->preempt(cell, 2'000'000).empty());
+    auto room = policy->borrow(cell, {{0, {3000, gib, 0}}}, 2'000'000);
+
+    cr_assert(room.has_value());
+    cr_assert(eq(u32, room->slot, 0));
+    cr_assert(not policy->awaits_room("large"));
+}
