--- /dev/null
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -0,0 +1,71 @@
+/// Spreads calls to the external policy over the entry instances, since it
+/// answers one call at a time for each of them.
+///
+/// Answers the load of queues whose calls take half a second beside queues
+/// whose calls take some milliseconds: long calls keep to half of the
+/// instances, so that short ones never wait behind them.
+#pragma once
+
+#include "toucanlever/cell/cell_messages.hpp"
+#include "toucanlever/cell/placement_advice.hpp"
+#include "toucanlever/core/event_loop.hpp"
+#include "toucanlever/wire/rpc.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// An instance's expected work, as the choice sees it.
+struct advice_lane
+{
+    std::string name;
+    time_point busy_until{};
+};
+
+/// The lane that ends the call soonest; null for no lanes. `lanes` is in a
+/// fixed order; long calls use the first half only.
+advice_lane* pick_lane(
+    std::vector<advice_lane>& lanes, microseconds duration, time_point now);
+
+/// The instances and what each was asked.
+class advice_broker
+{
+public:
+    using callback = placement_advice::callback;
+
+    /// `local` is used by this instance itself.
+    advice_broker(event_loop& loop, placement_advice& local, std::string name);
+    ~advice_broker();
+
+    /// An instance that can be asked; unheard ones are left out.
+    void hear(member_hello const& member);
+
+    /// `duration` is how long the policy takes.
+    void ask(step_id const& step, std::vector<std::string> const& workers,
+        microseconds duration, callback done);
+
+private:
+    struct member
+    {
+        std::unique_ptr<rpc_client> link;
+        time_point heard{};
+        std::string address;
+    };
+
+    void forward(std::string const& name, advice_request const& request,
+        microseconds duration, callback done);
+    void drop_unheard();
+
+    event_loop& loop;
+    placement_advice& local;
+    std::string self;
+    std::map<std::string, member> members;
+    std::vector<advice_lane> lanes;
+    event_loop::timer_id sweep = 0;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -0,0 +1,83 @@
+/// Bodies of the messages between the entry instances of a cell. All are
+/// msgpack arrays: fields are only ever appended, so that versions can mix.
+#pragma once
+
+#include "toucanlever/cell/work.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// An entry instance tells the active scheduler that it is there.
+struct member_hello
+{
+    std::string name;
+    /// Where it answers requests for advice.
+    std::string address;
+
+    MSGPACK_DEFINE(name, address)
+};
+
+/// A job that is in the store by now.
+struct work_accepted
+{
+    work_record record;
+    std::int64_t version = 0;
+
+    MSGPACK_DEFINE(record, version)
+};
+
+/// A job whose cancellation is in the store by now.
+struct work_cancelled
+{
+    std::string job;
+
+    MSGPACK_DEFINE(job)
+};
+
+/// Asks where a job stands.
+struct work_query
+{
+    std::string job;
+
+    MSGPACK_DEFINE(job)
+};
+
+/// `known` is false when the active scheduler has not heard of the job.
+struct work_reply
+{
+    bool known = false;
+    work_state state = work_state::queued;
+
+    MSGPACK_DEFINE(known, state)
+};
+
+/// Asks how many jobs of a queue have not begun.
+struct queue_query
+{
+    std::string queue;
+
+    MSGPACK_DEFINE(queue)
+};
+
+struct queue_reply
+{
+    std::uint64_t waiting = 0;
+
+    MSGPACK_DEFINE(waiting)
+};
+
+/// Asks an instance to ask the external policy, which answers one call at a
+/// time for each instance.
+struct advice_request
+{
+    step_id step;
+    std::vector<std::string> workers;
+
+    MSGPACK_DEFINE(step, workers)
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -0,0 +1,108 @@
+/// One entry instance of a cell: takes jobs from callers, answers for them,
+/// and schedules for all while it is the active scheduler.
+///
+/// Accepting a job needs the store only. Where a job stands is asked of the
+/// active scheduler, and of the store while there is none.
+#pragma once
+
+#include "toucanlever/cell/cell_settings.hpp"
+#include "toucanlever/cell/dispatcher.hpp"
+#include "toucanlever/cell/job_acceptor.hpp"
+#include "toucanlever/cell/leadership.hpp"
+#include "toucanlever/cell/placement_advice.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace toucanlever
+{
+
+/// How a question about a job was answered.
+enum class lookup_outcome
+{
+    found,
+    no_such_job,
+    /// Nobody who knows can be reached.
+    unavailable
+};
+
+/// The answer.
+struct lookup_result
+{
+    lookup_outcome outcome = lookup_outcome::unavailable;
+    work_state state = work_state::queued;
+};
+
+/// What a node is made of; all outlive it.
+struct cell_node_parts
+{
+    event_loop& loop;
+    record_store& store;
+    worker_orders& orders;
+    placement_advice& advice;
+    queue_directory const& queues;
+    std::string worker_table;
+    std::function<std::optional<worker_entry>(
+        std::string const& id, std::string const& value)>
+        decode_worker;
+};
+
+/// The node.
+class cell_node final : private leadership_listener, private rpc_handler
+{
+public:
+    cell_node(cell_node_parts parts, cell_settings const& settings);
+    ~cell_node() override;
+
+    /// Stores a job and tells the active scheduler.
+    void submit(work_record record, milliseconds patience,
+        std::function<void(accept_result)> done);
+    void look_up(
+        std::string const& job, std::function<void(lookup_result)> done);
+
+    /// Stores the cancellation and tells the active scheduler.
+    void cancel(
+        std::string const& job, std::function<void(lookup_result)> done);
+
+    /// Jobs of a queue that have not begun; nothing when nobody knows.
+    void count_waiting(std::string const& queue,
+        std::function<void(std::optional<std::uint64_t>)> done);
+
+    bool is_store_away() const { return this->acceptor.is_store_away(); }
+
+    /// Gives up the active scheduler's part; `done` follows.
+    void leave(std::function<void()> done);
+
+private:
+    void on_elected(holder_proof const& proof) override;
+    void on_deposed(std::string const& reason) override;
+    void on_leader(std::optional<leader_row> const& leader) override;
+    void on_request(frame const& request, std::string const& peer,
+        rpc_responder respond) override;
+    void answer_advice(advice_request const& request, rpc_responder respond);
+
+    void say_hello();
+    void announce(work_record const& record, std::int64_t version);
+    void look_up_stored(
+        std::string const& job, std::function<void(lookup_result)> done);
+    void store_cancellation(
+        std::string const& job, std::function<void(lookup_result)> done);
+    void tell_cancelled(std::string const& job);
+
+    cell_node_parts parts;
+    cell_settings settings;
+    job_acceptor acceptor;
+    std::unique_ptr<rpc_server> server;
+    // The active scheduler, when that is another instance.
+    std::unique_ptr<rpc_client> leader;
+    std::unique_ptr<advice_broker> broker;
+    // Set while this instance is the active scheduler.
+    std::unique_ptr<dispatcher> scheduler;
+    std::unique_ptr<leadership> election;
+    event_loop::timer_id hello = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -0,0 +1,32 @@
+/// Settings of one entry instance of a cell, with the platform's bounds
+/// already in the project's terms.
+#pragma once
+
+#include "toucanlever/core/clock.hpp"
+
+#include <string>
+
+namespace toucanlever
+{
+
+/// Where this instance stands and what it may reach.
+struct cell_settings
+{
+    std::string name;
+    std::string failure_domain;
+    std::string caller_address;
+    std::string readiness_address;
+    std::string peer_address;
+    std::string metrics_address;
+    std::string store_address;
+    std::string advice_address;
+    /// Longest lease that workers grant.
+    milliseconds max_lease{10000};
+    /// Between SIGTERM and SIGKILL.
+    milliseconds stop_grace{6000};
+    /// How long an ended job can be asked for.
+    milliseconds keep_ended{120000};
+    bool log_decisions = true;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/end_journal.hpp
@@ -0,0 +1,79 @@
+/// Records how runs ended, in batches, under the active scheduler's own row:
+/// a scheduler that was replaced records nothing more.
+#pragma once
+
+#include "toucanlever/cell/record_store.hpp"
+#include "toucanlever/cell/work.hpp"
+#include "toucanlever/core/event_loop.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// A run of a task that succeeded or failed.
+struct journal_entry
+{
+    task_id task;
+    std::uint64_t run = 0;
+    run_end how = run_end::failed;
+
+    MSGPACK_DEFINE(task, run, how)
+};
+
+/// Proof of being the active scheduler: the version of its row.
+struct holder_proof
+{
+    std::uint64_t fence = 0;
+    std::int64_t row_version = 0;
+};
+
+/// The journal of one term of the active scheduler.
+class end_journal
+{
+public:
+    end_journal(event_loop& loop, record_store& store, holder_proof proof,
+        std::function<void()> on_replaced);
+    ~end_journal();
+
+    /// `done` is called once the entry is durable.
+    void append(journal_entry entry, std::function<void()> done);
+
+    /// Entries that are not durable yet.
+    std::size_t backlog() const
+    {
+        return this->open.size() + this->sent.size();
+    }
+
+    /// The entries of one row of the journal.
+    static std::vector<journal_entry> decode(std::string const& value);
+
+private:
+    struct item
+    {
+        journal_entry entry;
+        std::function<void()> done;
+    };
+
+    void schedule(microseconds delay);
+    void flush();
+    void send();
+    void take(change_result const& result);
+    bool is_written(change_result const& result) const;
+    record_key row() const;
+
+    event_loop& loop;
+    record_store& store;
+    holder_proof proof;
+    std::function<void()> on_replaced;
+    std::vector<item> open;
+    // In the transaction that is under way or in doubt.
+    std::vector<item> sent;
+    std::uint64_t sequence = 0;
+    event_loop::timer_id timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/job_acceptor.hpp
@@ -0,0 +1,81 @@
+/// Stores submitted jobs: inserts each if absent, several in one transaction.
+#pragma once
+
+#include "toucanlever/cell/record_store.hpp"
+#include "toucanlever/cell/work.hpp"
+#include "toucanlever/core/event_loop.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// What became of a submission.
+enum class accept_outcome
+{
+    /// The store holds the job, from now or from before.
+    stored,
+    /// It does not, and never will from this submission.
+    not_stored,
+    /// It may or may not.
+    unknown
+};
+
+/// The outcome; `version` is set when this submission inserted the job.
+struct accept_result
+{
+    accept_outcome outcome = accept_outcome::unknown;
+    std::int64_t version = 0;
+};
+
+/// Batches per part of the store, one transaction of a part at a time.
+class job_acceptor
+{
+public:
+    using callback = std::function<void(accept_result)>;
+
+    job_acceptor(event_loop& loop, record_store& store);
+    ~job_acceptor();
+
+    /// Tries until `patience` is over.
+    void accept(
+        work_record const& record, milliseconds patience, callback done);
+
+    /// Rows that were refused, one after the other, since one was taken: the
+    /// store is away and new jobs had better be refused at once.
+    bool is_store_away() const { return this->failures >= 2; }
+
+private:
+    struct submission
+    {
+        std::string job;
+        std::string value;
+        time_point give_up{};
+        bool in_doubt = false;
+        callback done;
+    };
+
+    struct lane
+    {
+        std::vector<submission> waiting;
+        // In the transaction that is under way.
+        std::vector<submission> sent;
+        bool retrying = false;
+    };
+
+    void flush(std::string const& part);
+    void take(std::string const& part, change_result const& result);
+    void retry(std::string const& part);
+
+    event_loop& loop;
+    record_store& store;
+    std::map<std::string, lane> lanes;
+    std::uint32_t failures = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/leadership.hpp
@@ -0,0 +1,98 @@
+/// Which entry instance of the cell is its active scheduler.
+///
+/// One row of the store names the holder and its fencing token; it is taken
+/// by compare-and-set. A second row is written by the holder at each beat.
+/// Who may try is a guess (the beat stands still); who succeeds is decided by
+/// the row, and what a replaced holder still does is refused by the journal,
+/// which checks the row, and by workers, which check the token.
+#pragma once
+
+#include "toucanlever/cell/end_journal.hpp"
+#include "toucanlever/cell/record_follower.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace toucanlever
+{
+
+/// The holder as its row names it.
+struct leader_row
+{
+    std::string name;
+    /// Of one run of its process.
+    std::string incarnation;
+    std::string address;
+    std::uint64_t fence = 0;
+    /// It has stopped by itself.
+    bool released = false;
+
+    MSGPACK_DEFINE(name, incarnation, address, fence, released)
+};
+
+/// Hears how the election goes; called on the loop's thread.
+class leadership_listener
+{
+public:
+    virtual ~leadership_listener() = default;
+    virtual void on_elected(holder_proof const& proof) = 0;
+    virtual void on_deposed(std::string const& reason) = 0;
+    /// Another instance is the holder, or nobody known.
+    virtual void on_leader(std::optional<leader_row> const& leader) = 0;
+};
+
+/// One instance's part in the election.
+class leadership
+{
+public:
+    /// `self` has everything but the token filled in.
+    leadership(event_loop& loop, record_store& store, leader_row self,
+        leadership_listener& listener);
+    ~leadership();
+
+    bool is_holder() const { return this->held.has_value(); }
+
+    /// The holder's own permission to start work: it ends before others may
+    /// take the row, so that two holders never start work at one time.
+    bool may_start_work() const;
+
+    /// Gives the row up and stops trying.
+    void resign(std::function<void()> done);
+
+    /// The store or a worker has refused this holder.
+    void step_down(std::string const& reason);
+
+private:
+    void on_rows(std::vector<record> const& rows);
+    void on_holder_row(record const& row);
+    void consider();
+    bool is_vacant() const;
+    void take_row();
+    void taken(change_result const& result, leader_row const& claim);
+    void elected(std::int64_t version, leader_row const& claim);
+    void beat();
+    void beaten(change_result const& result, microseconds sent_at);
+
+    event_loop& loop;
+    record_store& store;
+    leader_row self;
+    leadership_listener& listener;
+    std::unique_ptr<record_follower> follower;
+    std::optional<leader_row> leader;
+    std::int64_t leader_version = 0;
+    std::int64_t beat_version = 0;
+    // When this instance saw the row or the beat change.
+    time_point beat_seen{};
+    std::optional<holder_proof> held;
+    // When the last beat that the store confirmed was sent, on a clock that
+    // also counts the time in which the instance stood still.
+    microseconds beat_confirmed{0};
+    bool attempt_pending = false;
+    bool beat_pending = false;
+    bool resigned = false;
+    event_loop::timer_id timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/work_board.hpp
@@ -0,0 +1,180 @@
+/// The jobs of a cell and where each of their tasks stands. Pure state: no
+/// I/O, and time is an argument.
+#pragma once
+
+#include "toucanlever/cell/work.hpp"
+#include "toucanlever/core/clock.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace toucanlever
+{
+
+/// One task.
+struct board_task
+{
+    /// The highest run that was given out.
+    std::uint64_t run = 0;
+    std::uint32_t failures = 0;
+    bool succeeded = false;
+    /// Where its present run holds room; empty while it waits.
+    std::string worker;
+    std::string checkpoint;
+    /// The worker on which it failed last.
+    std::string failed_on;
+
+    bool waits() const { return !this->succeeded && this->worker.empty(); }
+};
+
+/// A worker that the external policy approved for a step.
+struct board_ticket
+{
+    std::string ticket;
+    time_point valid_until{};
+};
+
+/// What is known of the external policy's view of a step.
+struct board_advice
+{
+    std::map<std::string, board_ticket> approved;
+    // Invariant: holds every approved worker.
+    std::set<std::string> asked;
+    bool pending = false;
+    time_point ask_again_at{};
+};
+
+/// A step of one occurrence.
+struct board_step
+{
+    step_id id;
+    work_step const* spec = nullptr;
+    std::vector<board_task> tasks;
+    std::uint32_t succeeded = 0;
+    /// Tasks that hold no room; kept with the tasks.
+    std::uint32_t waiting = 0;
+    /// A gang fails as a whole: its runs that failed, and the last of them.
+    std::uint32_t failed_runs = 0;
+    std::uint64_t last_failed_run = 0;
+    board_advice advice;
+    time_point ready_at{};
+
+    bool done() const { return this->succeeded == this->tasks.size(); }
+};
+
+/// A job.
+struct board_job
+{
+    work_record record;
+    /// The store's version of its record.
+    std::int64_t version = 0;
+    work_state state = work_state::queued;
+    /// The store knows enough to conclude `state` again.
+    bool durable = true;
+    /// An attempt was started.
+    bool begun = false;
+    time_point received{};
+    time_point ended_at{};
+    // By occurrence; an occurrence is made when it is due.
+    std::map<std::uint32_t, std::vector<board_step>> occurrences;
+    std::uint32_t finished_occurrences = 0;
+
+    bool open() const
+    {
+        return this->state == work_state::queued ||
+               this->state == work_state::running;
+    }
+};
+
+/// What followed from the end of a run.
+struct end_effect
+{
+    /// The run was the task's present one.
+    bool current = false;
+    /// Its step has ended with it.
+    bool step_done = false;
+    bool job_ended = false;
+};
+
+/// Order in which steps are served: priority, then the latest moment at which
+/// a step may start and its job still be in time.
+struct step_rank
+{
+    std::int64_t priority = 0;
+    std::int64_t latest_start_ms = 0;
+    step_id id;
+
+    auto operator<=>(step_rank const&) const = default;
+};
+
+/// All jobs that are open or ended lately.
+class work_board
+{
+public:
+    /// Adds a job; false when it is known.
+    bool add(work_record record, std::int64_t version, std::int64_t wall_ms,
+        time_point now);
+
+    board_job* find(std::string const& job);
+    board_step* find(step_id const& step);
+    board_task* find(task_id const& task);
+
+    /// Makes the occurrences that are due; the earliest wall time at which
+    /// another one is, or 0.
+    std::int64_t make_due(std::int64_t wall_ms, time_point now);
+
+    /// A task holds room on a worker from now on.
+    void placed(task_id const& task, std::uint64_t run,
+        std::string const& worker);
+
+    /// A task holds none any more and waits again.
+    void unplaced(task_id const& task);
+
+    /// A run succeeded or failed. `whole_step` is a gang's success.
+    end_effect ended(task_id const& task, std::uint64_t run, run_end how,
+        time_point now);
+
+    /// Ends the job; false when it had ended.
+    bool cancel(std::string const& job, time_point now);
+
+    /// Steps with waiting tasks whose earlier steps are done, in order.
+    std::set<step_rank> const& ready() const { return this->ready_steps; }
+
+    /// Open jobs of a queue of which no task has begun.
+    std::uint64_t waiting_jobs(std::string const& queue) const;
+
+    /// Forgets jobs that ended before; their ids.
+    std::vector<std::string> forget_ended(time_point before);
+
+    std::map<std::string, std::unique_ptr<board_job>> const& all() const
+    {
+        return this->jobs;
+    }
+
+private:
+    void make_occurrence(
+        board_job& job, std::uint32_t occurrence, time_point now);
+    void refresh(board_job& job, board_step& step, time_point now);
+    void refresh_all(board_job& job, std::uint32_t occurrence, time_point now);
+    void succeed(board_step& step, board_task& task);
+    /// True when the job has no attempt left.
+    bool fail(board_job const& job, board_step& step, board_task& task,
+        std::uint64_t run);
+    /// Ends the job when its last occurrence has ended; true then.
+    bool finish_occurrence(board_job& job, std::uint32_t occurrence,
+        time_point now);
+    step_rank rank_of(board_job const& job, board_step const& step) const;
+    bool is_ready(board_job const& job, board_step const& step) const;
+    void finish(board_job& job, work_state state, time_point now);
+
+    std::map<std::string, std::unique_ptr<board_job>> jobs;
+    std::set<step_rank> ready_steps;
+    // Jobs with occurrences that are not made yet, by the wall time of the
+    // next one.
+    std::set<std::pair<std::int64_t, std::string>> scheduled;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/include/toucanlever/cell/worker_watch.hpp
@@ -0,0 +1,96 @@
+/// Renews one worker's lease and follows what runs and ends on it.
+///
+/// Knows, from the worker's own clock alone, when everything that was started
+/// there must have ended although nobody hears the worker.
+#pragma once
+
+#include "toucanlever/cell/worker_orders.hpp"
+#include "toucanlever/core/event_loop.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace toucanlever
+{
+
+class worker_watch;
+
+/// Hears of one worker; called on the loop's thread. The watch may be
+/// destroyed from within a call.
+class worker_watch_listener
+{
+public:
+    virtual ~worker_watch_listener() = default;
+
+    /// The worker answered a call that was sent at `asked_at`.
+    virtual void on_report(worker_watch& watch, watch_result const& report,
+        time_point asked_at) = 0;
+
+    /// Calls fail, and what ran there may go on.
+    virtual void on_silent(worker_watch& watch, std::string const& problem) = 0;
+
+    /// What ran there has ended for sure: the lease is over, or the worker
+    /// began anew.
+    virtual void on_lost(worker_watch& watch, std::string const& reason) = 0;
+
+    /// The worker obeys a higher fencing token.
+    virtual void on_fenced(worker_watch& watch) = 0;
+};
+
+/// One worker.
+class worker_watch
+{
+public:
+    worker_watch(event_loop& loop, worker_orders& orders, worker_target target,
+        std::uint64_t fence, worker_watch_listener& listener);
+    ~worker_watch();
+
+    worker_target const& target() const { return this->worker; }
+
+    /// The end of the lease that an order sent now is to carry, on the
+    /// worker's clock. Remembered as granted.
+    std::int64_t grant_lease();
+
+    /// The end with this number was taken note of; it is acknowledged once
+    /// `settled`.
+    void note_end(std::int64_t number);
+    void settle_end(std::int64_t number);
+    std::int64_t last_end() const { return this->last_number; }
+
+    /// The worker began anew: numbers start again.
+    void reset_life();
+
+    /// Asks soon, for instance because a stop was sent.
+    void ask_soon();
+
+private:
+    void ask();
+    void take(watch_result const& result, time_point asked_at);
+    void take_failure(watch_result const& result);
+    void schedule(milliseconds delay);
+    std::int64_t clock_now() const;
+    time_point lease_over() const;
+
+    event_loop& loop;
+    worker_orders& orders;
+    worker_target worker;
+    std::uint64_t fence;
+    worker_watch_listener& listener;
+    time_point created;
+    // The worker's clock as it stood when an answer came; -1 for none.
+    std::int64_t clock_ms = -1;
+    time_point clock_read{};
+    std::int64_t granted_until = 0;
+    std::int64_t last_number = 0;
+    std::int64_t acknowledged = 0;
+    // Ends that were noted and not settled, by number.
+    std::map<std::int64_t, bool> unsettled;
+    int failures = 0;
+    bool in_flight = false;
+    bool lost = false;
+    event_loop::timer_id timer = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -34,7 +34,16 @@
     operator_query = 21,
     operator_reply = 22,
     config_change = 23,
-    room_request = 24
+    room_request = 24,
+    member_hello = 25,
+    work_accepted = 26,
+    work_cancelled = 27,
+    work_query = 28,
+    work_reply = 29,
+    queue_query = 30,
+    queue_reply = 31,
+    advice_request = 32,
+    advice_reply = 33
 };
 
 template <>
@@ -64,7 +73,16 @@
         row{message_type::operator_query, "operator-query"},
         row{message_type::operator_reply, "operator-reply"},
         row{message_type::config_change, "config-change"},
-        row{message_type::room_request, "room-request"}};
+        row{message_type::room_request, "room-request"},
+        row{message_type::member_hello, "member-hello"},
+        row{message_type::work_accepted, "work-accepted"},
+        row{message_type::work_cancelled, "work-cancelled"},
+        row{message_type::work_query, "work-query"},
+        row{message_type::work_reply, "work-reply"},
+        row{message_type::queue_query, "queue-query"},
+        row{message_type::queue_reply, "queue-reply"},
+        row{message_type::advice_request, "advice-request"},
+        row{message_type::advice_reply, "advice-reply"}};
 };
 
 } // namespace toucanlever
--- /dev/null
+++ b/src/cell/cell_node.cpp
@@ -0,0 +1,365 @@
+#include "toucanlever/cell/cell_node.hpp"
+
+#include "cell/cell_tables.hpp"
+
+#include "toucanlever/core/ids.hpp"
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/wire/codec.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds hello_period{500};
+/// A question to the active scheduler; the store is asked when it fails.
+constexpr milliseconds query_timeout{600};
+constexpr milliseconds tell_timeout{1000};
+constexpr milliseconds cancel_commit_timeout{1000};
+
+} // namespace
+
+cell_node::cell_node(cell_node_parts parts, cell_settings const& settings)
+    : parts(std::move(parts))
+    , settings(settings)
+    , acceptor(this->parts.loop, this->parts.store)
+{
+    event_loop& loop = this->parts.loop;
+    this->server = std::make_unique<rpc_server>(
+        loop, settings.peer_address,
+        static_cast<rpc_handler&>(*this), rpc_timing{});
+    leader_row self{settings.name,
+        make_incarnation(settings.failure_domain, settings.name),
+        settings.peer_address, 0, false};
+    this->election = std::make_unique<leadership>(
+        loop, this->parts.store, self,
+        static_cast<leadership_listener&>(*this));
+    this->hello = loop.every(hello_period, [this] { this->say_hello(); });
+}
+
+cell_node::~cell_node()
+{
+    *this->alive = false;
+    this->parts.loop.cancel(this->hello);
+}
+
+// ---------------------------------------------------------------------------
+// The election
+
+void cell_node::on_elected(holder_proof const& proof)
+{
+    this->leader.reset();
+    this->broker = std::make_unique<advice_broker>(
+        this->parts.loop, this->parts.advice, this->settings.name);
+    dispatcher_parts scheduling{this->parts.loop, this->parts.store,
+        this->parts.orders, *this->broker, this->parts.queues,
+        this->parts.worker_table, this->parts.decode_worker,
+        [this] { return this->election->may_start_work(); },
+        this->settings.keep_ended, this->settings.log_decisions};
+    this->scheduler = std::make_unique<dispatcher>(std::move(scheduling), proof,
+        [this](std::string const& reason)
+        {
+            // Not from within the dispatcher, which this destroys.
+            this->parts.loop.post(
+                [this, reason, alive = this->alive]
+                {
+                    if (*alive)
+                    {
+                        this->election->step_down(reason);
+                    }
+                });
+        });
+}
+
+void cell_node::on_deposed(std::string const&)
+{
+    this->scheduler.reset();
+    this->broker.reset();
+}
+
+void cell_node::on_leader(std::optional<leader_row> const& found)
+{
+    bool usable = found && !found->released &&
+                  found->address != this->settings.peer_address;
+    if (!usable)
+    {
+        this->leader.reset();
+        return;
+    }
+    log_line("leader")
+        .with("name", found->name)
+        .with("address", found->address)
+        .with("fence", found->fence);
+    this->leader = std::make_unique<rpc_client>(
+        this->parts.loop, found->address, rpc_timing{});
+    this->say_hello();
+}
+
+void cell_node::say_hello()
+{
+    if (this->leader && this->leader->connected())
+    {
+        member_hello message{
+            this->settings.name, this->settings.peer_address};
+        this->leader->request(message_type::member_hello, pack(message),
+            hello_period, [](rpc_result const&) {});
+    }
+}
+
+void cell_node::leave(std::function<void()> done)
+{
+    this->election->resign(std::move(done));
+}
+
+// ---------------------------------------------------------------------------
+// Callers
+
+void cell_node::submit(work_record record, milliseconds patience,
+    std::function<void(accept_result)> done)
+{
+    this->acceptor.accept(record, patience,
+        [this, record, done = std::move(done), alive = this->alive](
+            accept_result const& result)
+        {
+            if (*alive && result.version > 0)
+            {
+                this->announce(record, result.version);
+            }
+            done(result);
+        });
+}
+
+void cell_node::announce(work_record const& record, std::int64_t version)
+{
+    if (this->scheduler)
+    {
+        this->scheduler->accept(record, version);
+    }
+    else if (this->leader && this->leader->connected())
+    {
+        // What gets lost on the way, the scheduler reads from the store.
+        this->leader->request(message_type::work_accepted,
+            pack(work_accepted{record, version}), tell_timeout,
+            [](rpc_result const&) {});
+    }
+}
+
+void cell_node::look_up(
+    std::string const& job, std::function<void(lookup_result)> done)
+{
+    if (this->scheduler)
+    {
+        auto state = this->scheduler->state_of(job);
+        if (state)
+        {
+            done({lookup_outcome::found, *state});
+            return;
+        }
+    }
+    if (!this->leader || !this->leader->connected())
+    {
+        this->look_up_stored(job, std::move(done));
+        return;
+    }
+    this->leader->request(message_type::work_query, pack(work_query{job}),
+        query_timeout,
+        [this, job, done = std::move(done), alive = this->alive](
+            rpc_result const& result)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            if (!result.problem && result.reply &&
+                result.reply->type == message_type::work_reply)
+            {
+                auto reply = unpack<work_reply>(result.reply->body, "leader");
+                if (reply.known)
+                {
+                    done({lookup_outcome::found, reply.state});
+                    return;
+                }
+            }
+            this->look_up_stored(job, done);
+        });
+}
+
+void cell_node::look_up_stored(
+    std::string const& job, std::function<void(lookup_result)> done)
+{
+    // The rows of a job and of its cancellation are neighbours.
+    this->parts.store.read(tables::jobs, tables::part_of_job(job), job,
+        job + '~',
+        [job, done = std::move(done)](read_result const& result)
+        {
+            if (result.outcome != read_outcome::answered)
+            {
+                done({});
+                return;
+            }
+            lookup_result found{lookup_outcome::no_such_job, {}};
+            for (record const& row : result.rows)
+            {
+                found.outcome = lookup_outcome::found;
+                if (row.at.key.ends_with(tables::cancel_suffix))
+                {
+                    found.state = work_state::cancelled;
+                }
+            }
+            done(found);
+        });
+}
+
+void cell_node::cancel(
+    std::string const& job, std::function<void(lookup_result)> done)
+{
+    this->look_up(job,
+        [this, job, done = std::move(done), alive = this->alive](
+            lookup_result const& found)
+        {
+            bool ended = found.state == work_state::succeeded ||
+                         found.state == work_state::failed;
+            if (!*alive || found.outcome != lookup_outcome::found || ended)
+            {
+                done(found);
+                return;
+            }
+            this->store_cancellation(job, done);
+        });
+}
+
+void cell_node::store_cancellation(
+    std::string const& job, std::function<void(lookup_result)> done)
+{
+    record_change change;
+    change.writes = {{tables::cancel_row(job), "1"}};
+    this->parts.store.commit(change, cancel_commit_timeout,
+        [this, job, done = std::move(done), alive = this->alive](
+            change_result const& result)
+        {
+            if (*alive && result.outcome == change_outcome::committed)
+            {
+                this->tell_cancelled(job);
+                done({lookup_outcome::found, work_state::cancelled});
+                return;
+            }
+            done({});
+        });
+}
+
+void cell_node::tell_cancelled(std::string const& job)
+{
+    if (this->scheduler)
+    {
+        this->scheduler->cancel(job);
+    }
+    else if (this->leader && this->leader->connected())
+    {
+        this->leader->request(message_type::work_cancelled,
+            pack(work_cancelled{job}), tell_timeout, [](rpc_result const&) {});
+    }
+}
+
+void cell_node::count_waiting(std::string const& queue,
+    std::function<void(std::optional<std::uint64_t>)> done)
+{
+    if (this->scheduler && this->scheduler->is_loaded())
+    {
+        done(this->scheduler->waiting_jobs(queue));
+        return;
+    }
+    if (!this->leader || !this->leader->connected())
+    {
+        done(std::nullopt);
+        return;
+    }
+    this->leader->request(message_type::queue_query, pack(queue_query{queue}),
+        query_timeout,
+        [done = std::move(done)](rpc_result const& result)
+        {
+            if (result.problem || !result.reply ||
+                result.reply->type != message_type::queue_reply)
+            {
+                done(std::nullopt);
+                return;
+            }
+            done(unpack<queue_reply>(result.reply->body, "leader").waiting);
+        });
+}
+
+// ---------------------------------------------------------------------------
+// Other instances
+
+void cell_node::on_request(
+    frame const& request, std::string const& peer, rpc_responder respond)
+{
+    if (request.type == message_type::advice_request)
+    {
+        this->answer_advice(
+            unpack<advice_request>(request.body, peer), std::move(respond));
+        return;
+    }
+    if (!this->scheduler)
+    {
+        throw error(error_code::unavailable,
+            "this instance is not the active scheduler", "route-message",
+            this->settings.name);
+    }
+    switch (request.type)
+    {
+    case message_type::member_hello:
+        this->broker->hear(unpack<member_hello>(request.body, peer));
+        respond(message_type::ack, {});
+        return;
+    case message_type::work_accepted:
+    {
+        auto message = unpack<work_accepted>(request.body, peer);
+        this->scheduler->accept(std::move(message.record), message.version);
+        respond(message_type::ack, {});
+        return;
+    }
+    case message_type::work_cancelled:
+        this->scheduler->cancel(
+            unpack<work_cancelled>(request.body, peer).job);
+        respond(message_type::ack, {});
+        return;
+    case message_type::work_query:
+    {
+        auto state = this->scheduler->state_of(
+            unpack<work_query>(request.body, peer).job);
+        respond(message_type::work_reply,
+            pack(work_reply{
+                state.has_value(), state.value_or(work_state::queued)}));
+        return;
+    }
+    case message_type::queue_query:
+    {
+        if (!this->scheduler->is_loaded())
+        {
+            throw error(error_code::unavailable,
+                "the scheduler is still reading", "route-message",
+                this->settings.name);
+        }
+        auto waiting = this->scheduler->waiting_jobs(
+            unpack<queue_query>(request.body, peer).queue);
+        respond(message_type::queue_reply, pack(queue_reply{waiting}));
+        return;
+    }
+    default:
+        throw error(error_code::bad_request,
+            "unexpected message " + std::string(name_of(request.type)),
+            "route-message", peer);
+    }
+}
+
+void cell_node::answer_advice(
+    advice_request const& request, rpc_responder respond)
+{
+    this->parts.advice.ask(request.step, request.workers,
+        [respond = std::move(respond)](advice_result const& result)
+        { respond(message_type::advice_reply, pack(result)); });
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/leadership.cpp
@@ -0,0 +1,261 @@
+#include "toucanlever/cell/leadership.hpp"
+
+#include "cell/cell_tables.hpp"
+
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/wire/codec.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds beat_period{500};
+/// Others take the row after this long without a beat; four beats may fail.
+constexpr milliseconds vacant_after{2000};
+/// The holder starts no work after this long without a confirmed beat. Its
+/// beats are sent before others see them, so this ends first.
+constexpr milliseconds permission{1500};
+constexpr milliseconds consider_period{100};
+/// Instances that find the row vacant together try at different moments.
+constexpr std::int64_t stagger_max_ms = 150;
+constexpr milliseconds commit_timeout{1000};
+
+milliseconds stagger()
+{
+    static thread_local std::minstd_rand random{std::random_device{}()};
+    return milliseconds(
+        std::uniform_int_distribution<std::int64_t>(0, stagger_max_ms)(random));
+}
+
+} // namespace
+
+leadership::leadership(event_loop& loop, record_store& store, leader_row self,
+    leadership_listener& listener)
+    : loop(loop)
+    , store(store)
+    , self(std::move(self))
+    , listener(listener)
+    , beat_seen(loop.now())
+{
+    follow_plan plan{tables::leader, {tables::scheduler_part},
+        milliseconds(1500), milliseconds(0)};
+    this->follower = std::make_unique<record_follower>(loop, store, plan,
+        [this](std::vector<record> const& rows, bool) { this->on_rows(rows); });
+    this->timer = loop.every(consider_period, [this] { this->consider(); });
+}
+
+leadership::~leadership()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void leadership::on_rows(std::vector<record> const& rows)
+{
+    for (record const& row : rows)
+    {
+        if (row.at.key == tables::holder_row().key)
+        {
+            this->on_holder_row(row);
+        }
+        else if (row.version > this->beat_version)
+        {
+            this->beat_version = row.version;
+            this->beat_seen = this->loop.now();
+        }
+    }
+}
+
+void leadership::on_holder_row(record const& row)
+{
+    if (row.version <= this->leader_version)
+    {
+        return;
+    }
+    this->leader_version = row.version;
+    this->beat_seen = this->loop.now();
+    this->leader = unpack<leader_row>(row.value, "record-store");
+    if (this->held && this->leader->incarnation != this->self.incarnation)
+    {
+        this->step_down("another instance holds the row");
+    }
+    if (!this->held)
+    {
+        this->listener.on_leader(this->leader);
+    }
+}
+
+bool leadership::is_vacant() const
+{
+    if (!this->leader || this->leader->released ||
+        this->leader->name == this->self.name)
+    {
+        // A holder of this name is an earlier run of this very process.
+        return true;
+    }
+    return this->loop.now() - this->beat_seen > vacant_after;
+}
+
+void leadership::consider()
+{
+    if (this->held)
+    {
+        if (!this->beat_pending &&
+            this->loop.time_source().now().time_since_epoch() -
+                    this->beat_confirmed >=
+                beat_period)
+        {
+            this->beat();
+        }
+        return;
+    }
+    // Only a fresh copy of the rows shows that a beat is missing.
+    bool fresh = this->follower->has_read() &&
+                 this->loop.now() - this->follower->fresh_at() < vacant_after;
+    if (this->resigned || this->attempt_pending || !fresh ||
+        !this->is_vacant())
+    {
+        return;
+    }
+    this->attempt_pending = true;
+    this->loop.after(stagger(),
+        [this, alive = this->alive]
+        {
+            if (*alive)
+            {
+                this->take_row();
+            }
+        });
+}
+
+void leadership::take_row()
+{
+    if (this->resigned || !this->is_vacant())
+    {
+        this->attempt_pending = false;
+        return;
+    }
+    leader_row claim = this->self;
+    claim.fence = (this->leader ? this->leader->fence : 0) + 1;
+    record_change change;
+    change.checks = {{tables::holder_row(), this->leader_version}};
+    change.writes = {{tables::holder_row(), pack(claim)}};
+    this->store.commit(change, commit_timeout,
+        [this, claim, alive = this->alive](change_result const& result)
+        {
+            if (*alive)
+            {
+                this->taken(result, claim);
+            }
+        });
+}
+
+void leadership::taken(change_result const& result, leader_row const& claim)
+{
+    this->attempt_pending = false;
+    if (result.outcome == change_outcome::committed)
+    {
+        this->elected(result.version, claim);
+        return;
+    }
+    log_line("election-not-won")
+        .with("fence", claim.fence)
+        .with("in_doubt", result.outcome == change_outcome::in_doubt ? 1 : 0);
+    for (record const& row : result.current)
+    {
+        if (row.version > 0)
+        {
+            this->on_holder_row(row);
+        }
+    }
+}
+
+void leadership::elected(std::int64_t version, leader_row const& claim)
+{
+    this->leader = claim;
+    this->leader_version = std::max(this->leader_version, version);
+    this->held = holder_proof{claim.fence, version};
+    this->beat_confirmed = this->loop.now().time_since_epoch();
+    log_line("elected")
+        .with("fence", claim.fence)
+        .with("row_version", version);
+    this->beat();
+    this->listener.on_elected(*this->held);
+}
+
+void leadership::beat()
+{
+    this->beat_pending = true;
+    microseconds sent_at = this->loop.now().time_since_epoch();
+    record_change change;
+    change.checks = {{tables::holder_row(), this->held->row_version}};
+    change.writes = {{tables::beat_row(), this->self.incarnation}};
+    this->store.commit(change, commit_timeout,
+        [this, sent_at, alive = this->alive](change_result const& result)
+        {
+            if (*alive)
+            {
+                this->beaten(result, sent_at);
+            }
+        });
+}
+
+void leadership::beaten(change_result const& result, microseconds sent_at)
+{
+    this->beat_pending = false;
+    if (!this->held)
+    {
+        return;
+    }
+    if (result.outcome == change_outcome::conflict)
+    {
+        this->step_down("the row has changed");
+        return;
+    }
+    if (result.outcome == change_outcome::committed)
+    {
+        this->beat_confirmed = sent_at;
+    }
+}
+
+bool leadership::may_start_work() const
+{
+    return this->held && this->loop.now().time_since_epoch() -
+                                 this->beat_confirmed <
+                             permission;
+}
+
+void leadership::step_down(std::string const& reason)
+{
+    if (!this->held)
+    {
+        return;
+    }
+    log_line("deposed").with("fence", this->held->fence).with("reason", reason);
+    this->held.reset();
+    this->listener.on_deposed(reason);
+}
+
+void leadership::resign(std::function<void()> done)
+{
+    this->resigned = true;
+    if (!this->held)
+    {
+        done();
+        return;
+    }
+    leader_row released = *this->leader;
+    released.released = true;
+    record_change change;
+    change.checks = {{tables::holder_row(), this->held->row_version}};
+    change.writes = {{tables::holder_row(), pack(released)}};
+    this->step_down("the instance stops");
+    this->store.commit(change, commit_timeout,
+        [done = std::move(done)](change_result const&) { done(); });
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/record_follower.cpp
@@ -0,0 +1,172 @@
+#include "toucanlever/cell/record_follower.hpp"
+
+#include "toucanlever/core/backoff.hpp"
+#include "toucanlever/core/log.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+/// After a call that failed: short, because a store that was away is needed
+/// at once, and bounded, because all instances repeat together.
+constexpr milliseconds retry_min{100};
+constexpr milliseconds retry_max{500};
+
+} // namespace
+
+record_scan::record_scan(event_loop& loop, record_store& store,
+    std::string table, std::string part, callback done)
+    : loop(loop)
+    , store(store)
+    , table(std::move(table))
+    , part(std::move(part))
+    , done(std::move(done))
+{
+    this->read({});
+}
+
+record_scan::~record_scan()
+{
+    *this->alive = false;
+    this->loop.cancel(this->retry);
+}
+
+void record_scan::read(std::string const& from)
+{
+    this->store.read(this->table, this->part, from, {},
+        [this, from, alive = this->alive](read_result result)
+        {
+            if (*alive)
+            {
+                this->take(std::move(result), from);
+            }
+        });
+}
+
+void record_scan::take(read_result result, std::string const& from)
+{
+    if (result.outcome != read_outcome::answered)
+    {
+        this->retry = this->loop.after(backoff_delay(1, retry_min, retry_max),
+            [this, from] { this->read(from); });
+        return;
+    }
+    if (this->version == 0)
+    {
+        this->version = result.version;
+    }
+    std::move(result.rows.begin(), result.rows.end(),
+        std::back_inserter(this->rows));
+    if (result.more && !result.rows.empty())
+    {
+        // The next key in byte order.
+        this->read(this->rows.back().at.key + '!');
+        return;
+    }
+    this->done(std::move(this->rows), this->version);
+}
+
+record_follower::record_follower(event_loop& loop, record_store& store,
+    follow_plan plan, callback on_rows)
+    : loop(loop)
+    , store(store)
+    , plan(std::move(plan))
+    , on_rows(std::move(on_rows))
+{
+    this->read_whole();
+}
+
+record_follower::~record_follower()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void record_follower::read_whole()
+{
+    this->scans.clear();
+    this->gathered.clear();
+    this->parts_missing = this->plan.parts.size();
+    this->scan_began = this->loop.now();
+    this->version = 0;
+    for (std::string const& part : this->plan.parts)
+    {
+        this->scans.push_back(std::make_unique<record_scan>(this->loop,
+            this->store, this->plan.table, part,
+            [this](std::vector<record> rows, std::int64_t version)
+            { this->take_part(std::move(rows), version); }));
+    }
+}
+
+void record_follower::take_part(std::vector<record> rows, std::int64_t version)
+{
+    std::move(rows.begin(), rows.end(), std::back_inserter(this->gathered));
+    this->version =
+        this->version == 0 ? version : std::min(this->version, version);
+    --this->parts_missing;
+    if (this->parts_missing > 0)
+    {
+        return;
+    }
+    this->fresh = this->scan_began;
+    this->complete = true;
+    std::vector<record> whole = std::move(this->gathered);
+    this->gathered.clear();
+    // The scan that called is among those that go.
+    this->follow_after(milliseconds(0));
+    this->on_rows(whole, true);
+}
+
+void record_follower::follow_after(milliseconds delay)
+{
+    this->timer = this->loop.after(delay, [this] { this->follow(); });
+}
+
+void record_follower::follow()
+{
+    this->scans.clear();
+    time_point asked_at = this->loop.now();
+    // After a failure a short call tells soonest that the store is back.
+    milliseconds wait = this->failures > 0 ? milliseconds(0) : this->plan.wait;
+    this->store.changes(this->plan.table, this->version, wait,
+        [this, asked_at, alive = this->alive](read_result const& result)
+        {
+            if (*alive)
+            {
+                this->take_changes(result, asked_at);
+            }
+        });
+}
+
+void record_follower::take_changes(
+    read_result const& result, time_point asked_at)
+{
+    if (result.outcome == read_outcome::history_lost)
+    {
+        log_line("store-history-lost")
+            .with("table", this->plan.table)
+            .with("version", this->version);
+        this->read_whole();
+        return;
+    }
+    if (result.outcome == read_outcome::failed)
+    {
+        ++this->failures;
+        this->follow_after(
+            backoff_delay(this->failures, retry_min, retry_max));
+        return;
+    }
+    this->failures = 0;
+    this->fresh = asked_at;
+    this->version = std::max(this->version, result.version);
+    this->follow_after(this->plan.gap);
+    if (!result.rows.empty())
+    {
+        this->on_rows(result.rows, false);
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/work_board.cpp
@@ -0,0 +1,376 @@
+#include "toucanlever/cell/work_board.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+/// The sum of estimates along the longest chain from this step on.
+std::int64_t chain_ms(work_record const& record, std::uint32_t from)
+{
+    std::vector<std::int64_t> longest(record.steps.size(), 0);
+    std::int64_t result = 0;
+    for (std::size_t i = record.steps.size(); i-- > 0;)
+    {
+        longest[i] += record.steps[i].estimated_ms;
+        for (std::uint32_t earlier : record.steps[i].after)
+        {
+            longest[earlier] = std::max(longest[earlier], longest[i]);
+        }
+        if (i == from)
+        {
+            return longest[i];
+        }
+        result = std::max(result, longest[i]);
+    }
+    return result;
+}
+
+std::int64_t whole_chain_ms(work_record const& record)
+{
+    std::int64_t longest = 0;
+    for (std::uint32_t i = 0; i < record.steps.size(); ++i)
+    {
+        longest = std::max(longest, chain_ms(record, i));
+    }
+    return longest;
+}
+
+constexpr std::int64_t permille = 1000;
+
+} // namespace
+
+bool work_board::add(work_record record, std::int64_t version,
+    std::int64_t wall_ms, time_point now)
+{
+    std::string id = record.id;
+    auto [place, inserted] = this->jobs.try_emplace(id);
+    if (!inserted)
+    {
+        return false;
+    }
+    place->second = std::make_unique<board_job>();
+    board_job& job = *place->second;
+    job.record = std::move(record);
+    job.version = version;
+    job.received = now;
+    if (job.record.repetitions == 0)
+    {
+        this->make_occurrence(job, 0, now);
+        return true;
+    }
+    this->scheduled.insert({job.record.first_run_ms, id});
+    this->make_due(wall_ms, now);
+    return true;
+}
+
+board_job* work_board::find(std::string const& job)
+{
+    auto found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+board_step* work_board::find(step_id const& step)
+{
+    board_job* job = this->find(step.job);
+    if (job == nullptr)
+    {
+        return nullptr;
+    }
+    auto found = job->occurrences.find(step.occurrence);
+    if (found == job->occurrences.end() || step.step >= found->second.size())
+    {
+        return nullptr;
+    }
+    return &found->second[step.step];
+}
+
+board_task* work_board::find(task_id const& task)
+{
+    board_step* step = this->find(task.step);
+    if (step == nullptr || task.index >= step->tasks.size())
+    {
+        return nullptr;
+    }
+    return &step->tasks[task.index];
+}
+
+std::int64_t work_board::make_due(std::int64_t wall_ms, time_point now)
+{
+    while (!this->scheduled.empty())
+    {
+        auto [due, id] = *this->scheduled.begin();
+        if (due > wall_ms)
+        {
+            return due;
+        }
+        this->scheduled.erase(this->scheduled.begin());
+        board_job* job = this->find(id);
+        if (job == nullptr || !job->open())
+        {
+            continue;
+        }
+        auto next = static_cast<std::uint32_t>(job->occurrences.size());
+        this->make_occurrence(*job, next, now);
+        if (next + 1 < job->record.repetitions)
+        {
+            this->scheduled.insert({due + job->record.interval_ms, id});
+        }
+    }
+    return 0;
+}
+
+void work_board::make_occurrence(
+    board_job& job, std::uint32_t occurrence, time_point now)
+{
+    std::vector<board_step>& steps = job.occurrences[occurrence];
+    for (work_step const& spec : job.record.steps)
+    {
+        board_step step;
+        step.id = {job.record.id, occurrence,
+            static_cast<std::uint32_t>(steps.size())};
+        step.spec = &spec;
+        step.tasks.resize(spec.tasks);
+        step.waiting = spec.tasks;
+        steps.push_back(std::move(step));
+    }
+    this->refresh_all(job, occurrence, now);
+}
+
+step_rank work_board::rank_of(
+    board_job const& job, board_step const& step) const
+{
+    std::int64_t due = job.record.accepted_ms;
+    if (job.record.repetitions > 0)
+    {
+        due = job.record.first_run_ms +
+              job.record.interval_ms * step.id.occurrence;
+    }
+    std::int64_t objective =
+        job.record.queue.target_ms +
+        whole_chain_ms(job.record) * job.record.queue.slack_permille / permille;
+    return {job.record.queue.priority,
+        due + objective - chain_ms(job.record, step.id.step), step.id};
+}
+
+bool work_board::is_ready(board_job const& job, board_step const& step) const
+{
+    if (!job.open() || step.waiting == 0 || step.done())
+    {
+        return false;
+    }
+    std::vector<board_step> const& steps =
+        job.occurrences.at(step.id.occurrence);
+    return std::all_of(step.spec->after.begin(), step.spec->after.end(),
+        [&steps](std::uint32_t earlier) { return steps[earlier].done(); });
+}
+
+void work_board::refresh(board_job& job, board_step& step, time_point now)
+{
+    step_rank rank = this->rank_of(job, step);
+    if (!this->is_ready(job, step))
+    {
+        this->ready_steps.erase(rank);
+        return;
+    }
+    if (this->ready_steps.insert(rank).second)
+    {
+        step.ready_at = now;
+    }
+}
+
+void work_board::refresh_all(
+    board_job& job, std::uint32_t occurrence, time_point now)
+{
+    for (board_step& step : job.occurrences.at(occurrence))
+    {
+        this->refresh(job, step, now);
+    }
+}
+
+void work_board::placed(
+    task_id const& task, std::uint64_t run, std::string const& worker)
+{
+    board_step* step = this->find(task.step);
+    board_task& entry = step->tasks[task.index];
+    if (entry.waits())
+    {
+        --step->waiting;
+    }
+    entry.run = std::max(entry.run, run);
+    entry.worker = worker;
+    board_job& job = *this->find(task.step.job);
+    this->refresh(job, *step, step->ready_at);
+}
+
+void work_board::unplaced(task_id const& task)
+{
+    board_step* step = this->find(task.step);
+    if (step == nullptr || task.index >= step->tasks.size())
+    {
+        return;
+    }
+    board_task& entry = step->tasks[task.index];
+    if (entry.worker.empty() || entry.succeeded)
+    {
+        entry.worker.clear();
+        return;
+    }
+    entry.worker.clear();
+    ++step->waiting;
+    this->refresh(*this->find(task.step.job), *step, step->ready_at);
+}
+
+end_effect work_board::ended(
+    task_id const& task, std::uint64_t run, run_end how, time_point now)
+{
+    end_effect effect;
+    board_step* step = this->find(task.step);
+    if (step == nullptr || task.index >= step->tasks.size())
+    {
+        return effect;
+    }
+    board_job& job = *this->find(task.step.job);
+    board_task& entry = step->tasks[task.index];
+    if (entry.succeeded)
+    {
+        return effect;
+    }
+    effect.current = run >= entry.run;
+    entry.run = std::max(entry.run, run);
+    job.begun = true;
+    if (!job.open() || step->spec->long_running)
+    {
+        return effect;
+    }
+    if (how == run_end::succeeded)
+    {
+        this->succeed(*step, entry);
+        effect.step_done = step->done();
+        this->refresh_all(job, task.step.occurrence, now);
+        effect.job_ended =
+            effect.step_done &&
+            this->finish_occurrence(job, task.step.occurrence, now);
+    }
+    else if (how == run_end::failed && this->fail(job, *step, entry, run))
+    {
+        this->finish(job, work_state::failed, now);
+        effect.job_ended = true;
+    }
+    return effect;
+}
+
+void work_board::succeed(board_step& step, board_task& task)
+{
+    // One success of a gang stands for all of its tasks.
+    for (board_task& other : step.tasks)
+    {
+        bool included = step.spec->gang || &other == &task;
+        if (included && !other.succeeded)
+        {
+            step.waiting -= other.waits() ? 1 : 0;
+            other.succeeded = true;
+            ++step.succeeded;
+        }
+    }
+}
+
+bool work_board::fail(board_job const& job, board_step& step, board_task& task,
+    std::uint64_t run)
+{
+    std::uint32_t& failures =
+        step.spec->gang ? step.failed_runs : task.failures;
+    if (step.spec->gang && step.last_failed_run == run)
+    {
+        return false;
+    }
+    step.last_failed_run = run;
+    ++failures;
+    return failures >= job.record.queue.max_attempts;
+}
+
+bool work_board::finish_occurrence(
+    board_job& job, std::uint32_t occurrence, time_point now)
+{
+    std::vector<board_step> const& steps = job.occurrences.at(occurrence);
+    bool all = std::all_of(steps.begin(), steps.end(),
+        [](board_step const& one) { return one.done(); });
+    if (!all)
+    {
+        return false;
+    }
+    ++job.finished_occurrences;
+    auto wanted = std::max<std::uint32_t>(job.record.repetitions, 1);
+    if (job.finished_occurrences < wanted)
+    {
+        return false;
+    }
+    this->finish(job, work_state::succeeded, now);
+    return true;
+}
+
+void work_board::finish(board_job& job, work_state state, time_point now)
+{
+    job.state = state;
+    job.ended_at = now;
+    for (auto const& [occurrence, steps] : job.occurrences)
+    {
+        this->refresh_all(job, occurrence, now);
+    }
+}
+
+bool work_board::cancel(std::string const& job, time_point now)
+{
+    board_job* found = this->find(job);
+    if (found == nullptr || !found->open())
+    {
+        return false;
+    }
+    this->finish(*found, work_state::cancelled, now);
+    return true;
+}
+
+std::uint64_t work_board::waiting_jobs(std::string const& queue) const
+{
+    std::uint64_t count = 0;
+    for (auto const& [id, job] : this->jobs)
+    {
+        bool counts = job->open() && !job->begun &&
+                      job->record.queue.name == queue &&
+                      job->record.repetitions == 0;
+        count += counts ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<std::string> work_board::forget_ended(time_point before)
+{
+    std::vector<std::string> gone;
+    for (auto entry = this->jobs.begin(); entry != this->jobs.end();)
+    {
+        board_job const& job = *entry->second;
+        bool holds_room = false;
+        for (auto const& [occurrence, steps] : job.occurrences)
+        {
+            for (board_step const& step : steps)
+            {
+                holds_room = holds_room ||
+                             std::any_of(step.tasks.begin(), step.tasks.end(),
+                                 [](board_task const& task)
+                                 { return !task.worker.empty(); });
+            }
+        }
+        if (job.open() || !job.durable || job.ended_at > before || holds_room)
+        {
+            ++entry;
+            continue;
+        }
+        gone.push_back(entry->first);
+        entry = this->jobs.erase(entry);
+    }
+    return gone;
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/worker_watch.cpp
@@ -0,0 +1,207 @@
+#include "toucanlever/cell/worker_watch.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+/// How far ahead leases reach: longer than a change of the active scheduler
+/// takes (2 s unheard, one to take over), and as short as that allows,
+/// because a silent worker's tasks wait for it.
+constexpr milliseconds lease{5000};
+/// Workers' clocks may be 2% slow (the platform's figure).
+constexpr std::int64_t slow_clock_permille = 980;
+constexpr std::int64_t permille = 1000;
+/// Rounding and the time that an answer was on its way.
+constexpr milliseconds lease_margin{100};
+
+/// One call waits this long for an end.
+constexpr milliseconds wait_for_end{1500};
+/// Between two calls, so that ends gather.
+constexpr milliseconds gap{25};
+/// While ends await their record in the store.
+constexpr milliseconds unsettled_gap{100};
+constexpr milliseconds retry_gap{150};
+
+} // namespace
+
+worker_watch::worker_watch(event_loop& loop, worker_orders& orders,
+    worker_target target, std::uint64_t fence, worker_watch_listener& listener)
+    : loop(loop)
+    , orders(orders)
+    , worker(std::move(target))
+    , fence(fence)
+    , listener(listener)
+    , created(loop.now())
+{
+    this->schedule(milliseconds(0));
+}
+
+worker_watch::~worker_watch()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void worker_watch::schedule(milliseconds delay)
+{
+    this->loop.cancel(this->timer);
+    this->timer = this->loop.after(delay,
+        [this]
+        {
+            this->timer = 0;
+            this->ask();
+        });
+}
+
+std::int64_t worker_watch::clock_now() const
+{
+    auto since = std::chrono::duration_cast<milliseconds>(
+        this->loop.now() - this->clock_read);
+    return this->clock_ms + since.count();
+}
+
+std::int64_t worker_watch::grant_lease()
+{
+    if (this->clock_ms < 0)
+    {
+        return 0;
+    }
+    this->granted_until =
+        std::max(this->granted_until, this->clock_now() + lease.count());
+    return this->granted_until;
+}
+
+time_point worker_watch::lease_over() const
+{
+    if (this->clock_ms < 0)
+    {
+        // Only an earlier scheduler can have granted one, before this began.
+        return this->created + lease * permille / slow_clock_permille +
+               lease_margin;
+    }
+    std::int64_t left = std::max<std::int64_t>(
+        this->granted_until - this->clock_ms, 0);
+    return this->clock_read +
+           milliseconds(left * permille / slow_clock_permille) + lease_margin;
+}
+
+void worker_watch::ask()
+{
+    if (this->in_flight)
+    {
+        return;
+    }
+    this->in_flight = true;
+    watch_order order;
+    order.fence = this->fence;
+    order.lease_until_ms = this->grant_lease();
+    order.acknowledged = this->acknowledged;
+    bool wait = this->clock_ms >= 0 && this->failures == 0 &&
+                this->unsettled.empty();
+    order.wait_ms = wait ? wait_for_end.count() : 0;
+    time_point asked_at = this->loop.now();
+    this->orders.watch(this->worker, order,
+        [this, asked_at, alive = this->alive](watch_result const& result)
+        {
+            if (*alive)
+            {
+                this->in_flight = false;
+                this->take(result, asked_at);
+            }
+        });
+}
+
+void worker_watch::take(watch_result const& result, time_point asked_at)
+{
+    if (result.outcome == order_outcome::refused_fenced)
+    {
+        this->schedule(retry_gap);
+        this->listener.on_fenced(*this);
+        return;
+    }
+    if (result.outcome == order_outcome::other_incarnation)
+    {
+        this->schedule(retry_gap);
+        this->listener.on_lost(*this, "another life of the worker answers");
+        return;
+    }
+    if (result.outcome != order_outcome::done || result.clock_ms < 0)
+    {
+        this->take_failure(result);
+        return;
+    }
+    this->failures = 0;
+    this->lost = false;
+    this->clock_ms = result.clock_ms;
+    this->clock_read = this->loop.now();
+    std::shared_ptr<bool> still = this->alive;
+    this->listener.on_report(*this, result, asked_at);
+    if (*still)
+    {
+        this->schedule(this->unsettled.empty() ? gap : unsettled_gap);
+    }
+}
+
+void worker_watch::take_failure(watch_result const& result)
+{
+    ++this->failures;
+    this->schedule(retry_gap);
+    std::string problem =
+        result.problem.empty() ? "no clock in the answer" : result.problem;
+    if (this->loop.now() < this->lease_over())
+    {
+        this->listener.on_silent(*this, problem);
+        return;
+    }
+    if (!this->lost)
+    {
+        this->lost = true;
+        this->listener.on_lost(*this, "its lease is over: " + problem);
+    }
+}
+
+void worker_watch::note_end(std::int64_t number)
+{
+    this->last_number = std::max(this->last_number, number);
+    this->unsettled.emplace(number, false);
+}
+
+void worker_watch::settle_end(std::int64_t number)
+{
+    auto found = this->unsettled.find(number);
+    if (found == this->unsettled.end())
+    {
+        return;
+    }
+    found->second = true;
+    while (!this->unsettled.empty() && this->unsettled.begin()->second)
+    {
+        this->acknowledged = this->unsettled.begin()->first;
+        this->unsettled.erase(this->unsettled.begin());
+    }
+    if (this->unsettled.empty())
+    {
+        this->ask_soon();
+    }
+}
+
+void worker_watch::reset_life()
+{
+    this->last_number = 0;
+    this->acknowledged = 0;
+    this->unsettled.clear();
+    this->granted_until = 0;
+}
+
+void worker_watch::ask_soon()
+{
+    if (!this->in_flight)
+    {
+        this->schedule(gap);
+    }
+}
+
+} // namespace toucanlever
