The event loop takes as many handles as the process may have

The loop asked for 16384 handles; the platform's instances have 4200 descriptors. Ruled out: the reactor's pipe and epoll themselves (it runs with fewer).

Change: the lesser of 16384 and the process's limit.

--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/core/event_loop.hpp"
 
+#include <ace/ACE.h>
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
 #include <ace/Event_Handler_Handle_Timeout_Upcall.h>
@@ -18,7 +19,14 @@
 namespace
 {
 
-constexpr std::size_t max_handles = 16384;
+/// Handles of one reactor; an instance's limit on descriptors may be lower.
+constexpr int most_handles = 16384;
+
+std::size_t handle_limit()
+{
+    return static_cast<std::size_t>(
+        std::min(most_handles, ACE::max_handles()));
+}
 
 /// Lets ACE's timer queue read the runtime's clock.
 class ace_time_policy final : public ACE_Dynamic_Time_Policy_Base
@@ -93,7 +101,7 @@
     explicit impl(clock const& time)
         : policy(time)
         , timers(new timer_heap())
-        , reactor(new ACE_Dev_Poll_Reactor(max_handles, true), true)
+        , reactor(new ACE_Dev_Poll_Reactor(handle_limit(), true), true)
     {
         this->timers->set_time_policy(
             ACE_Delegating_Time_Policy(&this->policy));
