What a former scheduler may still run is waited for

The scheduler inside the cut domain went on renewing leases there, so the successor counted them as over while tasks ran.

Change: leases are renewed only with permission; a worker of an earlier term is not forgotten before it was heard or its lease is over.

--- a/include/toucanlever/cell/worker_watch.hpp
+++ b/include/toucanlever/cell/worker_watch.hpp
@@ -42,8 +42,11 @@
 class worker_watch
 {
 public:
+    /// `may_renew` is false while another scheduler may have begun to count
+    /// the leases that this one granted as over.
     worker_watch(event_loop& loop, worker_orders& orders, worker_target target,
-        std::uint64_t fence, worker_watch_listener& listener);
+        std::uint64_t fence, std::function<bool()> may_renew,
+        worker_watch_listener& listener);
     ~worker_watch();
 
     worker_target const& target() const { return this->worker; }
@@ -76,6 +79,7 @@
     worker_orders& orders;
     worker_target worker;
     std::uint64_t fence;
+    std::function<bool()> may_renew;
     worker_watch_listener& listener;
     time_point created;
     // The worker's clock as it stood when an answer came; -1 for none.
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -217,7 +217,8 @@
 {
     tracked.watch = std::make_unique<worker_watch>(this->parts.loop,
         this->parts.orders, worker_target{entry.id, entry.address},
-        this->proof.fence, static_cast<worker_watch_listener&>(*this));
+        this->proof.fence, this->parts.may_start_work,
+        static_cast<worker_watch_listener&>(*this));
 }
 
 void dispatcher::unlist_worker(std::string const& id)
@@ -1138,7 +1139,10 @@
             .with("job", end.task.step.job)
             .with("state", name_of(job.state))
             .with("after_ms", wall_time_ms() - job.record.accepted_ms);
-        this->stop_job(end.task.step.job);
+        if (job.state == work_state::failed)
+        {
+            this->stop_job(end.task.step.job);
+        }
     }
     else if (step->spec->gang && end.how != run_end::succeeded &&
              !step->done())
@@ -1270,7 +1274,10 @@
     for (auto entry = this->workers.begin(); entry != this->workers.end();)
     {
         pool_worker const* worker = this->pool.find(entry->first);
-        bool over = worker->unlisted && worker->silent && worker->holds.empty();
+        // What an earlier scheduler started there may still run.
+        bool over = worker->unlisted && worker->silent &&
+                    worker->holds.empty() &&
+                    !this->unreconciled.contains(entry->first);
         if (!over)
         {
             ++entry;
--- a/src/cell/worker_watch.cpp
+++ b/src/cell/worker_watch.cpp
@@ -28,11 +28,13 @@
 } // namespace
 
 worker_watch::worker_watch(event_loop& loop, worker_orders& orders,
-    worker_target target, std::uint64_t fence, worker_watch_listener& listener)
+    worker_target target, std::uint64_t fence,
+    std::function<bool()> may_renew, worker_watch_listener& listener)
     : loop(loop)
     , orders(orders)
     , worker(std::move(target))
     , fence(fence)
+    , may_renew(std::move(may_renew))
     , listener(listener)
     , created(loop.now())
 {
@@ -69,6 +71,10 @@
     {
         return 0;
     }
+    if (!this->may_renew())
+    {
+        return this->granted_until;
+    }
     this->granted_until =
         std::max(this->granted_until, this->clock_now() + lease.count());
     return this->granted_until;
