Calls for advice are begun, not queued; submissions find a way to the store

While the store was slow, jobs in 16 parts made more transactions than a part takes.

Change: a call to the policy begins only when an instance is free, in the order of the steps; each instance writes to a part of its own, one transaction at a time; submissions go through the active scheduler when the own path to the store is away; leases end 8.5 s after the last beat instead of with permission.

--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -3,7 +3,9 @@
 ///
 /// Answers the load of queues whose calls take half a second beside queues
 /// whose calls take some milliseconds: long calls keep to half of the
-/// instances, so that short ones never wait behind them.
+/// instances, so that short ones never wait behind them. Nothing is queued: a
+/// call that no instance can begin is refused, so that whoever decides what is
+/// asked next decides when there is a lane for it.
 #pragma once
 
 #include "toucanlever/cell/cell_messages.hpp"
@@ -19,15 +21,16 @@
 namespace toucanlever
 {
 
-/// An instance's expected work, as the choice sees it.
+/// An instance's calls, as the choice sees it.
 struct advice_lane
 {
     std::string name;
+    std::uint32_t outstanding = 0;
     time_point busy_until{};
 };
 
-/// The lane that ends the call soonest; null for no lanes. `lanes` is in a
-/// fixed order; long calls use the first half only.
+/// A lane that can begin the call at once, or nearly so; null when all are
+/// busy. `lanes` is in a fixed order; long calls use the first half only.
 advice_lane* pick_lane(
     std::vector<advice_lane>& lanes, microseconds duration, time_point now);
 
@@ -44,7 +47,10 @@
     /// An instance that can be asked; unheard ones are left out.
     void hear(member_hello const& member);
 
-    /// `duration` is how long the policy takes.
+    /// Whether a call of this length could begin now.
+    bool has_lane(microseconds duration);
+
+    /// `duration` is how long the policy takes; there must be a lane.
     void ask(step_id const& step, std::vector<std::string> const& workers,
         microseconds duration, callback done);
 
@@ -58,6 +64,7 @@
 
     void forward(std::string const& name, advice_request const& request,
         microseconds duration, callback done);
+    void free_lane(std::string const& name);
     void drop_unheard();
 
     event_loop& loop;
@@ -66,6 +73,7 @@
     std::map<std::string, member> members;
     std::vector<advice_lane> lanes;
     event_loop::timer_id sweep = 0;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -30,6 +30,23 @@
     MSGPACK_DEFINE(record, version)
 };
 
+/// Asks an instance that reaches the store to store a job.
+struct work_submit
+{
+    work_record record;
+    std::int64_t patience_ms = 0;
+
+    MSGPACK_DEFINE(record, patience_ms)
+};
+
+/// What became of it: the value of an `accept_outcome`.
+struct work_submit_reply
+{
+    std::uint8_t outcome = 0;
+
+    MSGPACK_DEFINE(outcome)
+};
+
 /// A job whose cancellation is in the store by now.
 struct work_cancelled
 {
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -70,7 +70,13 @@
     void count_waiting(std::string const& queue,
         std::function<void(std::optional<std::uint64_t>)> done);
 
-    bool is_store_away() const { return this->acceptor.is_store_away(); }
+    /// A submission would be refused by now.
+    bool is_refusing() const
+    {
+        return this->acceptor.is_store_away() &&
+               (this->scheduler || !this->leader ||
+                   !this->leader->connected());
+    }
 
     /// Gives up the active scheduler's part; `done` follows.
     void leave(std::function<void()> done);
@@ -84,9 +90,15 @@
     void answer_advice(advice_request const& request, rpc_responder respond);
 
     void say_hello();
+    void forward(work_record const& record, milliseconds patience,
+        std::function<void(accept_result)> done);
     void announce(work_record const& record, std::int64_t version);
     void look_up_stored(
         std::string const& job, std::function<void(lookup_result)> done);
+    struct stored_lookup;
+    void look_up_parts(std::string const& job,
+        std::vector<std::string> const& parts,
+        std::function<void(lookup_result)> const& done);
     void store_cancellation(
         std::string const& job, std::function<void(lookup_result)> done);
     void tell_cancelled(std::string const& job);
--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -40,6 +40,8 @@
         decode_worker;
     /// False while starts are forbidden to this holder.
     std::function<bool()> may_start_work;
+    /// No lease may reach beyond it.
+    std::function<time_point()> lease_limit;
     milliseconds keep_ended{120000};
     bool log_decisions = true;
 };
@@ -93,6 +95,8 @@
     void plan_step(step_rank const& rank, std::set<std::string>& kept);
     placement_request make_request(
         board_job const& job, board_step const& step) const;
+    bool can_get_tickets(board_job const& job, board_step const& step,
+        std::vector<std::string> const& chosen);
     void keep_room(board_step const& step, placement_request const& request,
         std::set<std::string>& kept) const;
     void reserve(board_job& job, board_step& step,
@@ -102,7 +106,7 @@
     // The external policy.
     bool ask_unasked(
         board_job& job, board_step& step, placement_request const& request);
-    void ask(board_job& job, board_step& step,
+    bool ask(board_job& job, board_step& step,
         std::vector<std::string> const& workers);
     void take_advice(step_id const& id, std::vector<std::string> const& asked,
         advice_result const& result);
@@ -159,6 +163,8 @@
     bool loaded = false;
     // Workers of earlier schedulers that have not answered.
     std::set<std::string> unreconciled;
+    // Jobs whose cancellation was heard of before they were.
+    std::set<std::string> cancelled_early;
     std::set<std::string> to_record;
     // Workers that hold nothing any more and are to leave the record.
     std::set<std::string> to_unrecord;
--- a/include/toucanlever/cell/job_acceptor.hpp
+++ b/include/toucanlever/cell/job_acceptor.hpp
@@ -6,7 +6,6 @@
 #include "toucanlever/core/event_loop.hpp"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,22 +31,25 @@
     std::int64_t version = 0;
 };
 
-/// Batches per part of the store, one transaction of a part at a time.
+/// Writes to one part of the store, one transaction at a time: what arrives
+/// meanwhile goes into the next, so a slow store gets fewer and larger ones.
 class job_acceptor
 {
 public:
     using callback = std::function<void(accept_result)>;
 
-    job_acceptor(event_loop& loop, record_store& store);
+    job_acceptor(event_loop& loop, record_store& store, std::string part);
     ~job_acceptor();
 
     /// Tries until `patience` is over.
     void accept(
         work_record const& record, milliseconds patience, callback done);
 
-    /// Rows that were refused, one after the other, since one was taken: the
-    /// store is away and new jobs had better be refused at once.
-    bool is_store_away() const { return this->failures >= 2; }
+    /// The last transaction was refused or got no answer.
+    bool is_store_away() const { return this->failures > 0; }
+
+    /// Finds out whether the store is back, unless that is under way.
+    void probe();
 
 private:
     struct submission
@@ -59,21 +61,19 @@
         callback done;
     };
 
-    struct lane
-    {
-        std::vector<submission> waiting;
-        // In the transaction that is under way.
-        std::vector<submission> sent;
-        bool retrying = false;
-    };
-
-    void flush(std::string const& part);
-    void take(std::string const& part, change_result const& result);
-    void retry(std::string const& part);
+    void flush();
+    void take(change_result const& result);
+    void settle(std::vector<submission> sent, change_result const& result);
+    void retry();
 
     event_loop& loop;
     record_store& store;
-    std::map<std::string, lane> lanes;
+    std::string part;
+    std::vector<submission> waiting;
+    // In the transaction that is under way.
+    std::vector<submission> sent;
+    bool retrying = false;
+    bool probing = false;
     std::uint32_t failures = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/include/toucanlever/cell/leadership.hpp
+++ b/include/toucanlever/cell/leadership.hpp
@@ -57,6 +57,9 @@
     /// take the row, so that two holders never start work at one time.
     bool may_start_work() const;
 
+    /// A successor counts leases as over from this moment on.
+    time_point lease_limit() const;
+
     /// Gives the row up and stops trying.
     void resign(std::function<void()> done);
 
--- a/include/toucanlever/cell/record_follower.hpp
+++ b/include/toucanlever/cell/record_follower.hpp
@@ -45,6 +45,7 @@
 struct follow_plan
 {
     std::string table;
+    /// Empty for all parts that the table has.
     std::vector<std::string> parts;
     /// How long one call waits for a change.
     milliseconds wait{1000};
@@ -71,6 +72,7 @@
 
 private:
     void read_whole();
+    void read_parts(std::vector<std::string> const& parts);
     void take_part(std::vector<record> rows, std::int64_t version);
     void follow();
     void take_changes(read_result const& result, time_point asked_at);
--- a/include/toucanlever/cell/record_store.hpp
+++ b/include/toucanlever/cell/record_store.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,6 +97,9 @@
     using change_callback = std::function<void(change_result)>;
     using read_callback = std::function<void(read_result)>;
 
+    using parts_callback =
+        std::function<void(std::optional<std::vector<std::string>>)>;
+
     virtual ~record_store() = default;
 
     /// One attempt, given up after `timeout`.
@@ -108,6 +112,9 @@
         std::string const& from, std::string const& until,
         read_callback done) = 0;
 
+    /// The parts of a table that have rows; nothing when there was no answer.
+    virtual void parts(std::string const& table, parts_callback done) = 0;
+
     /// What changed in a table after a version; waits up to `wait` for it.
     virtual void changes(std::string const& table, std::int64_t after,
         milliseconds wait, read_callback done) = 0;
--- a/include/toucanlever/cell/worker_watch.hpp
+++ b/include/toucanlever/cell/worker_watch.hpp
@@ -42,11 +42,13 @@
 class worker_watch
 {
 public:
-    /// `may_renew` is false while another scheduler may have begun to count
-    /// the leases that this one granted as over.
+    /// No lease reaches beyond `lease_limit`: a later scheduler counts on it.
     worker_watch(event_loop& loop, worker_orders& orders, worker_target target,
-        std::uint64_t fence, std::function<bool()> may_renew,
+        std::uint64_t fence, std::function<time_point()> lease_limit,
         worker_watch_listener& listener);
+
+    /// How far beyond a holder's last confirmed beat its leases may reach.
+    static constexpr milliseconds lease_after_beat{8500};
     ~worker_watch();
 
     worker_target const& target() const { return this->worker; }
@@ -79,7 +81,7 @@
     worker_orders& orders;
     worker_target worker;
     std::uint64_t fence;
-    std::function<bool()> may_renew;
+    std::function<time_point()> lease_limit;
     worker_watch_listener& listener;
     time_point created;
     // The worker's clock as it stood when an answer came; -1 for none.
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -43,7 +43,9 @@
     queue_query = 30,
     queue_reply = 31,
     advice_request = 32,
-    advice_reply = 33
+    advice_reply = 33,
+    work_submit = 34,
+    work_submit_reply = 35
 };
 
 template <>
@@ -82,7 +84,9 @@
         row{message_type::queue_query, "queue-query"},
         row{message_type::queue_reply, "queue-reply"},
         row{message_type::advice_request, "advice-request"},
-        row{message_type::advice_reply, "advice-reply"}};
+        row{message_type::advice_reply, "advice-reply"},
+        row{message_type::work_submit, "work-submit"},
+        row{message_type::work_submit_reply, "work-submit-reply"}};
 };
 
 } // namespace toucanlever
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -11,8 +11,10 @@
 
 /// Calls of at least this length keep to half of the lanes.
 constexpr milliseconds long_call{150};
-/// Between instances, beside the policy's own time.
-constexpr milliseconds call_overhead{1};
+/// A short call may be sent while the one before it takes this much longer,
+/// so that the policy does not wait for the way between instances.
+constexpr milliseconds pipelined{20};
+constexpr std::uint32_t max_outstanding = 3;
 /// An answer that takes this much longer than it should is given up.
 constexpr milliseconds answer_margin{1500};
 /// Instances say hello twice a second.
@@ -32,18 +34,20 @@
     advice_lane* best = nullptr;
     for (std::size_t i = 0; i < usable; ++i)
     {
-        auto begin = std::max(lanes[i].busy_until, now);
+        advice_lane& lane = lanes[i];
+        bool nearly_free = duration < long_call &&
+                           lane.outstanding < max_outstanding &&
+                           lane.busy_until <= now + pipelined;
+        if (lane.outstanding > 0 && !nearly_free)
+        {
+            continue;
+        }
         // Later lanes first among the idle: the first half is for long calls.
-        if (best == nullptr || begin <= std::max(best->busy_until, now))
+        if (best == nullptr || lane.busy_until <= best->busy_until)
         {
-            best = &lanes[i];
+            best = &lane;
         }
     }
-    if (best != nullptr)
-    {
-        best->busy_until =
-            std::max(best->busy_until, now) + duration + call_overhead;
-    }
     return best;
 }
 
@@ -53,13 +57,14 @@
     , local(local)
     , self(std::move(name))
 {
-    this->lanes.push_back({this->self, {}});
+    this->lanes.push_back({this->self, 0, {}});
     this->sweep =
         this->loop.every(sweep_period, [this] { this->drop_unheard(); });
 }
 
 advice_broker::~advice_broker()
 {
+    *this->alive = false;
     this->loop.cancel(this->sweep);
 }
 
@@ -84,7 +89,7 @@
     { return lane.name == hello.name; };
     if (std::none_of(this->lanes.begin(), this->lanes.end(), same))
     {
-        this->lanes.push_back({hello.name, {}});
+        this->lanes.push_back({hello.name, 0, {}});
     }
 }
 
@@ -106,18 +111,50 @@
     }
 }
 
+bool advice_broker::has_lane(microseconds duration)
+{
+    return pick_lane(this->lanes, duration, this->loop.now()) != nullptr;
+}
+
 void advice_broker::ask(step_id const& step,
     std::vector<std::string> const& workers, microseconds duration,
     callback done)
 {
-    advice_lane* lane = pick_lane(this->lanes, duration, this->loop.now());
-    if (lane->name == this->self)
+    time_point now = this->loop.now();
+    advice_lane* lane = pick_lane(this->lanes, duration, now);
+    ++lane->outstanding;
+    lane->busy_until = std::max(lane->busy_until, now) + duration;
+    std::string name = lane->name;
+    auto finish = [this, name, done = std::move(done), alive = this->alive](
+                      advice_result const& result)
     {
-        this->local.ask(step, workers, std::move(done));
+        if (*alive)
+        {
+            this->free_lane(name);
+            done(result);
+        }
+    };
+    if (name == this->self)
+    {
+        this->local.ask(step, workers, finish);
         return;
     }
-    this->forward(
-        lane->name, advice_request{step, workers}, duration, std::move(done));
+    this->forward(name, advice_request{step, workers}, duration, finish);
+}
+
+void advice_broker::free_lane(std::string const& name)
+{
+    for (advice_lane& lane : this->lanes)
+    {
+        if (lane.name == name && lane.outstanding > 0)
+        {
+            --lane.outstanding;
+            if (lane.outstanding == 0)
+            {
+                lane.busy_until = this->loop.now();
+            }
+        }
+    }
 }
 
 void advice_broker::forward(std::string const& name,
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -4,6 +4,7 @@
 
 #include "toucanlever/core/ids.hpp"
 #include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
 #include <algorithm>
@@ -24,7 +25,7 @@
 cell_node::cell_node(cell_node_parts parts, cell_settings const& settings)
     : parts(std::move(parts))
     , settings(settings)
-    , acceptor(this->parts.loop, this->parts.store)
+    , acceptor(this->parts.loop, this->parts.store, settings.name)
 {
     event_loop& loop = this->parts.loop;
     this->server = std::make_unique<rpc_server>(
@@ -57,6 +58,7 @@
         this->parts.orders, *this->broker, this->parts.queues,
         this->parts.worker_table, this->parts.decode_worker,
         [this] { return this->election->may_start_work(); },
+        [this] { return this->election->lease_limit(); },
         this->settings.keep_ended, this->settings.log_decisions};
     this->scheduler = std::make_unique<dispatcher>(std::move(scheduling), proof,
         [this](std::string const& reason)
@@ -119,6 +121,13 @@
 void cell_node::submit(work_record record, milliseconds patience,
     std::function<void(accept_result)> done)
 {
+    bool forward = this->acceptor.is_store_away() && !this->scheduler &&
+                   this->leader && this->leader->connected();
+    if (forward)
+    {
+        this->forward(record, patience, std::move(done));
+        return;
+    }
     this->acceptor.accept(record, patience,
         [this, record, done = std::move(done), alive = this->alive](
             accept_result const& result)
@@ -131,6 +140,31 @@
         });
 }
 
+void cell_node::forward(work_record const& record, milliseconds patience,
+    std::function<void(accept_result)> done)
+{
+    metrics().count("jobs_forwarded");
+    this->acceptor.probe();
+    this->leader->request(message_type::work_submit,
+        pack(work_submit{record, patience.count()}), patience,
+        [done = std::move(done)](rpc_result const& result)
+        {
+            bool answered = !result.problem && result.reply &&
+                            result.reply->type ==
+                                message_type::work_submit_reply;
+            if (answered)
+            {
+                auto reply =
+                    unpack<work_submit_reply>(result.reply->body, "leader");
+                done({static_cast<accept_outcome>(reply.outcome), 0});
+                return;
+            }
+            bool never = result.problem && result.problem->ran == run_state::no;
+            done({never ? accept_outcome::not_stored : accept_outcome::unknown,
+                0});
+        });
+}
+
 void cell_node::announce(work_record const& record, std::int64_t version)
 {
     if (this->scheduler)
@@ -189,27 +223,73 @@
 void cell_node::look_up_stored(
     std::string const& job, std::function<void(lookup_result)> done)
 {
-    // The rows of a job and of its cancellation are neighbours.
-    this->parts.store.read(tables::jobs, tables::part_of_job(job), job,
-        job + '~',
-        [job, done = std::move(done)](read_result const& result)
+    this->parts.store.parts(tables::jobs,
+        [this, job, done = std::move(done), alive = this->alive](
+            std::optional<std::vector<std::string>> const& parts)
         {
-            if (result.outcome != read_outcome::answered)
+            if (!*alive || !parts)
             {
                 done({});
                 return;
             }
-            lookup_result found{lookup_outcome::no_such_job, {}};
-            for (record const& row : result.rows)
+            this->look_up_parts(job, *parts, done);
+        });
+}
+
+/// The answers about one job from all parts of the table.
+struct cell_node::stored_lookup
+{
+    lookup_result found{lookup_outcome::no_such_job, work_state::queued};
+    std::size_t missing = 0;
+    bool failed = false;
+
+    void add(read_result const& result)
+    {
+        this->failed =
+            this->failed || result.outcome != read_outcome::answered;
+        for (record const& row : result.rows)
+        {
+            this->found.outcome = lookup_outcome::found;
+            if (row.at.key.ends_with(tables::cancel_suffix))
             {
-                found.outcome = lookup_outcome::found;
-                if (row.at.key.ends_with(tables::cancel_suffix))
+                this->found.state = work_state::cancelled;
+            }
+        }
+    }
+
+    lookup_result result() const
+    {
+        bool unsure = this->failed &&
+                      this->found.outcome == lookup_outcome::no_such_job;
+        return unsure ? lookup_result{} : this->found;
+    }
+};
+
+void cell_node::look_up_parts(std::string const& job,
+    std::vector<std::string> const& parts,
+    std::function<void(lookup_result)> const& done)
+{
+    auto lookup = std::make_shared<stored_lookup>();
+    lookup->missing = parts.size();
+    if (parts.empty())
+    {
+        done(lookup->result());
+        return;
+    }
+    for (std::string const& part : parts)
+    {
+        // The rows of a job and of its cancellation are neighbours.
+        this->parts.store.read(tables::jobs, part, job, job + '~',
+            [lookup, done](read_result const& result)
+            {
+                lookup->add(result);
+                --lookup->missing;
+                if (lookup->missing == 0)
                 {
-                    found.state = work_state::cancelled;
+                    done(lookup->result());
                 }
-            }
-            done(found);
-        });
+            });
+    }
 }
 
 void cell_node::cancel(
@@ -234,7 +314,7 @@
     std::string const& job, std::function<void(lookup_result)> done)
 {
     record_change change;
-    change.writes = {{tables::cancel_row(job), "1"}};
+    change.writes = {{tables::cancel_row(this->settings.name, job), "1"}};
     this->parts.store.commit(change, cancel_commit_timeout,
         [this, job, done = std::move(done), alive = this->alive](
             change_result const& result)
@@ -320,6 +400,19 @@
         respond(message_type::ack, {});
         return;
     }
+    case message_type::work_submit:
+    {
+        auto message = unpack<work_submit>(request.body, peer);
+        this->submit(std::move(message.record),
+            milliseconds(message.patience_ms),
+            [respond = std::move(respond)](accept_result const& result)
+            {
+                respond(message_type::work_submit_reply,
+                    pack(work_submit_reply{
+                        static_cast<std::uint8_t>(result.outcome)}));
+            });
+        return;
+    }
     case message_type::work_cancelled:
         this->scheduler->cancel(
             unpack<work_cancelled>(request.body, peer).job);
--- a/src/cell/cell_tables.hpp
+++ b/src/cell/cell_tables.hpp
@@ -6,7 +6,6 @@
 
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace toucanlever::tables
 {
@@ -23,28 +22,17 @@
 
 inline constexpr std::string_view cancel_suffix = ".cancel";
 
-/// Jobs are spread over parts by the first digit of their id, because a part
-/// makes its transactions one after the other.
-inline std::string part_of_job(std::string const& job)
+/// Each entry instance writes to a part of its own, named after it: a part
+/// makes its transactions one after the other, and one writer fills each of
+/// them as far as it can. Two instances may store one job; it stays one.
+inline record_key job_row(std::string const& part, std::string const& job)
 {
-    return job.substr(0, 1);
+    return {jobs, part, job};
 }
 
-inline std::vector<std::string> const& job_parts()
+inline record_key cancel_row(std::string const& part, std::string const& job)
 {
-    static std::vector<std::string> const parts{"0", "1", "2", "3", "4", "5",
-        "6", "7", "8", "9", "a", "b", "c", "d", "e", "f"};
-    return parts;
-}
-
-inline record_key job_row(std::string const& job)
-{
-    return {jobs, part_of_job(job), job};
-}
-
-inline record_key cancel_row(std::string const& job)
-{
-    return {jobs, part_of_job(job), job + std::string(cancel_suffix)};
+    return {jobs, part, job + std::string(cancel_suffix)};
 }
 
 inline record_key holder_row()
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -22,6 +22,15 @@
 /// How many steps one look examines; the rest wait for the next one.
 constexpr std::size_t max_steps_per_plan = 400;
 
+/// How long the external policy takes for a call.
+microseconds decision_time(board_job const& job, std::size_t workers)
+{
+    advice_terms const& terms = job.record.queue.advice;
+    return microseconds(
+        terms.decision_us +
+        terms.per_worker_us * static_cast<std::int64_t>(workers));
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_parts parts, holder_proof proof,
@@ -36,7 +45,7 @@
     record_store& store = this->parts.store;
     // Jobs also come from the instances that accepted them, so this only
     // repairs what was lost on the way.
-    follow_plan jobs{tables::jobs, tables::job_parts(), milliseconds(1000),
+    follow_plan jobs{tables::jobs, {}, milliseconds(1000),
         milliseconds(300)};
     this->job_follower = std::make_unique<record_follower>(loop, store, jobs,
         [this](std::vector<record> const& rows, bool)
@@ -217,7 +226,7 @@
 {
     tracked.watch = std::make_unique<worker_watch>(this->parts.loop,
         this->parts.orders, worker_target{entry.id, entry.address},
-        this->proof.fence, this->parts.may_start_work,
+        this->proof.fence, this->parts.lease_limit,
         static_cast<worker_watch_listener&>(*this));
 }
 
@@ -327,6 +336,10 @@
             this->parts.loop.now()))
     {
         metrics().count("jobs_accepted");
+        if (this->cancelled_early.erase(id) > 0)
+        {
+            this->cancel(id);
+        }
         this->plan_soon();
     }
 }
@@ -338,6 +351,11 @@
         log_line("job-cancelled").with("job", job);
         this->stop_job(job);
     }
+    else if (this->board.find(job) == nullptr)
+    {
+        // The job's own record is on another way here.
+        this->cancelled_early.insert(job);
+    }
 }
 
 std::optional<work_state> dispatcher::state_of(std::string const& job)
@@ -473,10 +491,34 @@
         }
         return;
     }
+    if (advised && !this->can_get_tickets(*job, *step, chosen))
+    {
+        if (request.all_or_none)
+        {
+            kept.insert(chosen.begin(), chosen.end());
+        }
+        return;
+    }
     this->reserve(*job, *step, chosen, request.need);
     this->start_reserved(*job, *step);
 }
 
+bool dispatcher::can_get_tickets(board_job const& job, board_step const& step,
+    std::vector<std::string> const& chosen)
+{
+    std::set<std::string> lacking;
+    for (std::string const& worker : chosen)
+    {
+        if (!this->has_ticket(step, worker))
+        {
+            lacking.insert(worker);
+        }
+    }
+    return lacking.empty() ||
+           (!step.advice.pending && this->parts.advice.has_lane(
+                                        decision_time(job, lacking.size())));
+}
+
 void dispatcher::keep_room(board_step const& step,
     placement_request const& request, std::set<std::string>& kept) const
 {
@@ -594,18 +636,19 @@
     {
         return false;
     }
-    this->ask(job, step, workers);
-    return true;
+    return this->ask(job, step, workers);
 }
 
-void dispatcher::ask(board_job& job, board_step& step,
+bool dispatcher::ask(board_job& job, board_step& step,
     std::vector<std::string> const& workers)
 {
+    microseconds duration = decision_time(job, workers.size());
+    if (!this->parts.advice.has_lane(duration))
+    {
+        // Looked at again when an answer frees a lane.
+        return false;
+    }
     step.advice.pending = true;
-    advice_terms const& terms = job.record.queue.advice;
-    microseconds duration(
-        terms.decision_us +
-        terms.per_worker_us * static_cast<std::int64_t>(workers.size()));
     metrics().count("advice_calls");
     this->parts.advice.ask(step.id, workers, duration,
         [this, id = step.id, workers, alive = this->alive](
@@ -616,6 +659,7 @@
                 this->take_advice(id, workers, result);
             }
         });
+    return true;
 }
 
 void dispatcher::take_advice(step_id const& id,
@@ -695,7 +739,11 @@
             this->plan_soon();
             return;
         }
-        this->ask(job, step, {lacking.begin(), lacking.end()});
+        if (!this->ask(job, step, {lacking.begin(), lacking.end()}))
+        {
+            this->drop_reserved(step, true);
+            return;
+        }
     }
     if (step.spec->gang && !lacking.empty())
     {
--- a/src/cell/job_acceptor.cpp
+++ b/src/cell/job_acceptor.cpp
@@ -21,9 +21,11 @@
 
 } // namespace
 
-job_acceptor::job_acceptor(event_loop& loop, record_store& store)
+job_acceptor::job_acceptor(
+    event_loop& loop, record_store& store, std::string part)
     : loop(loop)
     , store(store)
+    , part(std::move(part))
 {
 }
 
@@ -35,16 +37,14 @@
 void job_acceptor::accept(
     work_record const& record, milliseconds patience, callback done)
 {
-    std::string part = tables::part_of_job(record.id);
-    this->lanes[part].waiting.push_back({record.id, pack(record),
+    this->waiting.push_back({record.id, pack(record),
         this->loop.now() + patience, false, std::move(done)});
-    this->flush(part);
+    this->flush();
 }
 
-void job_acceptor::flush(std::string const& part)
+void job_acceptor::flush()
 {
-    lane& current = this->lanes[part];
-    if (!current.sent.empty() || current.waiting.empty() || current.retrying)
+    if (!this->sent.empty() || this->waiting.empty() || this->retrying)
     {
         return;
     }
@@ -52,9 +52,9 @@
     std::size_t bytes = 0;
     std::set<std::string> included;
     std::vector<submission> left;
-    for (submission& next : current.waiting)
+    for (submission& next : this->waiting)
     {
-        bool fits = current.sent.size() < max_batch &&
+        bool fits = this->sent.size() < max_batch &&
                     bytes + next.value.size() <= max_batch_bytes;
         // A repeat of a job of this batch waits for the next one.
         if (!fits || !included.insert(next.job).second)
@@ -62,40 +62,72 @@
             left.push_back(std::move(next));
             continue;
         }
+        record_key row = tables::job_row(this->part, next.job);
         bytes += next.value.size();
-        change.checks.push_back({tables::job_row(next.job), 0});
-        change.writes.push_back({tables::job_row(next.job), next.value});
-        current.sent.push_back(std::move(next));
+        change.checks.push_back({row, 0});
+        change.writes.push_back({row, next.value});
+        this->sent.push_back(std::move(next));
     }
-    current.waiting = std::move(left);
+    this->waiting = std::move(left);
     this->store.commit(change, commit_timeout,
-        [this, part, alive = this->alive](change_result const& result)
+        [this, alive = this->alive](change_result const& result)
         {
             if (*alive)
             {
-                this->take(part, result);
+                this->take(result);
             }
         });
 }
 
-void job_acceptor::take(std::string const& part, change_result const& result)
+void job_acceptor::probe()
+{
+    if (this->probing)
+    {
+        return;
+    }
+    this->probing = true;
+    this->store.read(tables::jobs, this->part, "~", {},
+        [this, alive = this->alive](read_result const& result)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            if (result.outcome == read_outcome::answered)
+            {
+                this->failures = 0;
+            }
+            this->loop.after(retry_delay,
+                [this, alive]
+                {
+                    if (*alive)
+                    {
+                        this->probing = false;
+                    }
+                });
+        });
+}
+
+void job_acceptor::take(change_result const& result)
 {
-    lane& current = this->lanes[part];
-    std::vector<submission> sent = std::move(current.sent);
-    current.sent.clear();
     bool answered = result.outcome == change_outcome::committed ||
                     result.outcome == change_outcome::conflict;
     this->failures = answered ? 0 : this->failures + 1;
-    if (result.outcome == change_outcome::committed)
+    std::vector<submission> batch = std::move(this->sent);
+    this->sent.clear();
+    this->settle(std::move(batch), result);
+    if (answered)
     {
-        metrics().count("accept_batches");
-        for (submission const& one : sent)
-        {
-            one.done({accept_outcome::stored, result.version});
-        }
-        this->flush(part);
+        this->flush();
         return;
     }
+    this->retry();
+}
+
+void job_acceptor::settle(
+    std::vector<submission> batch, change_result const& result)
+{
+    metrics().count("accept_batches");
     std::set<std::string> present;
     for (record const& row : result.current)
     {
@@ -106,11 +138,15 @@
     }
     time_point now = this->loop.now();
     std::vector<submission> again;
-    for (submission& one : sent)
+    for (submission& one : batch)
     {
         one.in_doubt =
             one.in_doubt || result.outcome == change_outcome::in_doubt;
-        if (present.contains(one.job))
+        if (result.outcome == change_outcome::committed)
+        {
+            one.done({accept_outcome::stored, result.version});
+        }
+        else if (present.contains(one.job))
         {
             one.done({accept_outcome::stored, 0});
         }
@@ -125,27 +161,21 @@
             again.push_back(std::move(one));
         }
     }
-    current.waiting.insert(current.waiting.begin(),
+    this->waiting.insert(this->waiting.begin(),
         std::make_move_iterator(again.begin()),
         std::make_move_iterator(again.end()));
-    if (answered)
-    {
-        this->flush(part);
-        return;
-    }
-    this->retry(part);
 }
 
-void job_acceptor::retry(std::string const& part)
+void job_acceptor::retry()
 {
-    this->lanes[part].retrying = true;
+    this->retrying = true;
     this->loop.after(retry_delay,
-        [this, part, alive = this->alive]
+        [this, alive = this->alive]
         {
             if (*alive)
             {
-                this->lanes[part].retrying = false;
-                this->flush(part);
+                this->retrying = false;
+                this->flush();
             }
         });
 }
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/cell_tables.hpp"
 
+#include "toucanlever/cell/worker_watch.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/wire/codec.hpp"
 
@@ -13,12 +14,12 @@
 namespace
 {
 
-constexpr milliseconds beat_period{500};
+constexpr milliseconds beat_period{300};
 /// Others take the row after this long without a beat; four beats may fail.
-constexpr milliseconds vacant_after{2000};
+constexpr milliseconds vacant_after{1700};
 /// The holder starts no work after this long without a confirmed beat. Its
 /// beats are sent before others see them, so this ends first.
-constexpr milliseconds permission{1500};
+constexpr milliseconds permission{1300};
 constexpr milliseconds consider_period{100};
 /// Instances that find the row vacant together try at different moments.
 constexpr std::int64_t stagger_max_ms = 150;
@@ -42,7 +43,7 @@
     , beat_seen(loop.now())
 {
     follow_plan plan{tables::leader, {tables::scheduler_part},
-        milliseconds(1500), milliseconds(0)};
+        milliseconds(1000), milliseconds(0)};
     this->follower = std::make_unique<record_follower>(loop, store, plan,
         [this](std::vector<record> const& rows, bool) { this->on_rows(rows); });
     this->timer = loop.every(consider_period, [this] { this->consider(); });
@@ -229,6 +230,11 @@
                              permission;
 }
 
+time_point leadership::lease_limit() const
+{
+    return time_point(this->beat_confirmed) + worker_watch::lease_after_beat;
+}
+
 void leadership::step_down(std::string const& reason)
 {
     if (!this->held)
--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -87,12 +87,44 @@
 
 void record_follower::read_whole()
 {
+    this->scan_began = this->loop.now();
+    if (!this->plan.parts.empty())
+    {
+        this->read_parts(this->plan.parts);
+        return;
+    }
+    this->store.parts(this->plan.table,
+        [this, alive = this->alive](
+            std::optional<std::vector<std::string>> const& parts)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            if (parts)
+            {
+                this->read_parts(*parts);
+                return;
+            }
+            this->timer = this->loop.after(
+                backoff_delay(1, retry_min, retry_max),
+                [this] { this->read_whole(); });
+        });
+}
+
+void record_follower::read_parts(std::vector<std::string> const& listed)
+{
+    // A table without rows has no part, and its version is still wanted.
+    std::vector<std::string> parts = listed;
+    if (parts.empty())
+    {
+        parts.emplace_back();
+    }
     this->scans.clear();
     this->gathered.clear();
-    this->parts_missing = this->plan.parts.size();
-    this->scan_began = this->loop.now();
+    this->parts_missing = parts.size();
     this->version = 0;
-    for (std::string const& part : this->plan.parts)
+    for (std::string const& part : parts)
     {
         this->scans.push_back(std::make_unique<record_scan>(this->loop,
             this->store, this->plan.table, part,
--- a/src/cell/worker_watch.cpp
+++ b/src/cell/worker_watch.cpp
@@ -9,7 +9,8 @@
 
 /// How far ahead leases reach: longer than a change of the active scheduler
 /// takes (2 s unheard, one to take over), and as short as that allows,
-/// because a silent worker's tasks wait for it.
+/// because a silent worker's tasks wait for it. While the store is away they
+/// reach up to `lease_after_beat` instead of being renewed.
 constexpr milliseconds lease{5000};
 /// Workers' clocks may be 2% slow (the platform's figure).
 constexpr std::int64_t slow_clock_permille = 980;
@@ -29,12 +30,12 @@
 
 worker_watch::worker_watch(event_loop& loop, worker_orders& orders,
     worker_target target, std::uint64_t fence,
-    std::function<bool()> may_renew, worker_watch_listener& listener)
+    std::function<time_point()> lease_limit, worker_watch_listener& listener)
     : loop(loop)
     , orders(orders)
     , worker(std::move(target))
     , fence(fence)
-    , may_renew(std::move(may_renew))
+    , lease_limit(std::move(lease_limit))
     , listener(listener)
     , created(loop.now())
 {
@@ -71,12 +72,11 @@
     {
         return 0;
     }
-    if (!this->may_renew())
-    {
-        return this->granted_until;
-    }
+    auto allowed = std::chrono::duration_cast<milliseconds>(
+        this->lease_limit() - this->loop.now());
+    auto length = std::min(lease, allowed);
     this->granted_until =
-        std::max(this->granted_until, this->clock_now() + lease.count());
+        std::max(this->granted_until, this->clock_now() + length.count());
     return this->granted_until;
 }
 
@@ -85,7 +85,8 @@
     if (this->clock_ms < 0)
     {
         // Only an earlier scheduler can have granted one, before this began.
-        return this->created + lease * permille / slow_clock_permille +
+        return this->created +
+               lease_after_beat * permille / slow_clock_permille +
                lease_margin;
     }
     std::int64_t left = std::max<std::int64_t>(
