A failed run counts once; silent workers are lost at last

A process ended with map::at: a call for advice whose link is down ended within its own beginning and freed the rooms that were about to be started. A worker that was gone was never lost: each attempt to reach it moved its lease on. A gang with a lost member then never started.

Change: failures are counted by run; advice never answers from within and a lane that failed rests; a lease does not move while calls fail.

--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -27,6 +27,8 @@
     std::string name;
     std::uint32_t outstanding = 0;
     time_point busy_until{};
+    /// After a call that failed it gets none until then.
+    time_point rest_until{};
 };
 
 /// A lane that can begin the call at once, or nearly so; null when all are
@@ -50,7 +52,8 @@
     /// Whether a call of this length could begin now.
     bool has_lane(microseconds duration);
 
-    /// `duration` is how long the policy takes; there must be a lane.
+    /// `duration` is how long the policy takes; there must be a lane. `done`
+    /// is never called from within.
     void ask(step_id const& step, std::vector<std::string> const& workers,
         microseconds duration, callback done);
 
@@ -64,7 +67,7 @@
 
     void forward(std::string const& name, advice_request const& request,
         microseconds duration, callback done);
-    void free_lane(std::string const& name);
+    void free_lane(std::string const& name, bool answered);
     void drop_unheard();
 
     event_loop& loop;
--- a/include/toucanlever/cell/work_board.hpp
+++ b/include/toucanlever/cell/work_board.hpp
@@ -19,7 +19,9 @@
 {
     /// The highest run that was given out.
     std::uint64_t run = 0;
-    std::uint32_t failures = 0;
+    /// Its runs that failed. A run is reported again until it is known to be
+    /// durable, also to the next scheduler, and counts once.
+    std::set<std::uint64_t> failed_runs;
     bool succeeded = false;
     /// Where its present run holds room; empty while it waits.
     std::string worker;
@@ -56,9 +58,8 @@
     std::uint32_t succeeded = 0;
     /// Tasks that hold no room; kept with the tasks.
     std::uint32_t waiting = 0;
-    /// A gang fails as a whole: its runs that failed, and the last of them.
-    std::uint32_t failed_runs = 0;
-    std::uint64_t last_failed_run = 0;
+    /// A gang fails as a whole: its runs in which a task failed.
+    std::set<std::uint64_t> failed_runs;
     board_advice advice;
     time_point ready_at{};
 
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -38,7 +38,8 @@
         bool nearly_free = duration < long_call &&
                            lane.outstanding < max_outstanding &&
                            lane.busy_until <= now + pipelined;
-        if (lane.outstanding > 0 && !nearly_free)
+        bool free = lane.outstanding == 0 || nearly_free;
+        if (!free || now < lane.rest_until)
         {
             continue;
         }
@@ -57,7 +58,7 @@
     , local(local)
     , self(std::move(name))
 {
-    this->lanes.push_back({this->self, 0, {}});
+    this->lanes.push_back({this->self, 0, {}, {}});
     this->sweep =
         this->loop.every(sweep_period, [this] { this->drop_unheard(); });
 }
@@ -89,7 +90,7 @@
     { return lane.name == hello.name; };
     if (std::none_of(this->lanes.begin(), this->lanes.end(), same))
     {
-        this->lanes.push_back({hello.name, 0, {}});
+        this->lanes.push_back({hello.name, 0, {}, {}});
     }
 }
 
@@ -130,7 +131,7 @@
     {
         if (*alive)
         {
-            this->free_lane(name);
+            this->free_lane(name, result.answered);
             done(result);
         }
     };
@@ -142,13 +143,15 @@
     this->forward(name, advice_request{step, workers}, duration, finish);
 }
 
-void advice_broker::free_lane(std::string const& name)
+void advice_broker::free_lane(std::string const& name, bool answered)
 {
+    constexpr milliseconds rest{300};
     for (advice_lane& lane : this->lanes)
     {
         if (lane.name == name && lane.outstanding > 0)
         {
             --lane.outstanding;
+            lane.rest_until = answered ? time_point{} : this->loop.now() + rest;
             if (lane.outstanding == 0)
             {
                 lane.busy_until = this->loop.now();
@@ -161,6 +164,12 @@
     advice_request const& request, microseconds duration, callback done)
 {
     member& entry = this->members.at(name);
+    if (!entry.link->connected())
+    {
+        this->loop.post(
+            [done = std::move(done)] { done(advice_result{}); });
+        return;
+    }
     milliseconds timeout =
         std::chrono::duration_cast<milliseconds>(duration * 2) + answer_margin;
     entry.link->request(message_type::advice_request, pack(request), timeout,
--- a/src/cell/work_board.cpp
+++ b/src/cell/work_board.cpp
@@ -280,15 +280,10 @@
 bool work_board::fail(board_job const& job, board_step& step, board_task& task,
     std::uint64_t run)
 {
-    std::uint32_t& failures =
-        step.spec->gang ? step.failed_runs : task.failures;
-    if (step.spec->gang && step.last_failed_run == run)
-    {
-        return false;
-    }
-    step.last_failed_run = run;
-    ++failures;
-    return failures >= job.record.queue.max_attempts;
+    std::set<std::uint64_t>& failed =
+        step.spec->gang ? step.failed_runs : task.failed_runs;
+    failed.insert(run);
+    return failed.size() >= job.record.queue.max_attempts;
 }
 
 bool work_board::finish_occurrence(
--- a/src/cell/worker_watch.cpp
+++ b/src/cell/worker_watch.cpp
@@ -72,6 +72,12 @@
     {
         return 0;
     }
+    if (this->failures > 0)
+    {
+        // Whatever is sent may arrive: a lease that moved on with each
+        // attempt would never be over.
+        return this->granted_until;
+    }
     auto allowed = std::chrono::duration_cast<milliseconds>(
         this->lease_limit() - this->loop.now());
     auto length = std::min(lease, allowed);
