A job that was stored twice keeps its first version

A caller repeats a submission at another instance, which stores it in its own part. A scheduler elected in between read the later record first and took the job for one that no earlier scheduler can have started.

--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -56,7 +56,8 @@
     cell_node(cell_node_parts parts, cell_settings const& settings);
     ~cell_node() override;
 
-    /// Stores a job and tells the active scheduler.
+    /// Stores a job, through the active scheduler where this instance does
+    /// not reach the store, and tells the active scheduler.
     void submit(work_record record, milliseconds patience,
         std::function<void(accept_result)> done);
     void look_up(
@@ -70,14 +71,6 @@
     void count_waiting(std::string const& queue,
         std::function<void(std::optional<std::uint64_t>)> done);
 
-    /// A submission would be refused by now.
-    bool is_refusing() const
-    {
-        return this->acceptor.is_store_away() &&
-               (this->scheduler || !this->leader ||
-                   !this->leader->connected());
-    }
-
     /// Gives up the active scheduler's part; `done` follows.
     void leave(std::function<void()> done);
 
@@ -90,6 +83,7 @@
     void answer_advice(advice_request const& request, rpc_responder respond);
 
     void say_hello();
+    /// Asks the active scheduler to store a job, since this instance cannot.
     void forward(work_record const& record, milliseconds patience,
         std::function<void(accept_result)> done);
     void announce(work_record const& record, std::int64_t version);
--- a/include/toucanlever/cell/cell_settings.hpp
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -27,6 +27,8 @@
     /// How long an ended job can be asked for.
     milliseconds keep_ended{120000};
     bool log_decisions = true;
+
+    bool operator==(cell_settings const&) const = default;
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -12,7 +12,7 @@
 #include "toucanlever/cell/record_follower.hpp"
 #include "toucanlever/cell/step_placement.hpp"
 #include "toucanlever/cell/work_board.hpp"
-#include "toucanlever/cell/worker_watch.hpp"
+#include "toucanlever/cell/worker_lease.hpp"
 
 #include <functional>
 #include <map>
@@ -47,7 +47,7 @@
 };
 
 /// One term of the active scheduler.
-class dispatcher final : private worker_watch_listener
+class dispatcher final : private worker_lease_listener
 {
 public:
     dispatcher(dispatcher_parts parts, holder_proof proof,
@@ -69,7 +69,7 @@
     struct tracked_worker
     {
         // Unset until all that the store holds has been read.
-        std::unique_ptr<worker_watch> watch;
+        std::unique_ptr<worker_lease> watch;
         /// The store says that it may hold work.
         bool recorded = false;
         std::int64_t started_ms = 0;
@@ -130,17 +130,16 @@
     void free_task(std::string const& worker, task_id const& task);
 
     // Reports.
-    void on_report(worker_watch& watch, watch_result const& report,
+    void on_report(worker_lease& watch, watch_result const& report,
         time_point asked_at) override;
-    void on_silent(worker_watch& watch, std::string const& problem) override;
-    void on_lost(worker_watch& watch, std::string const& reason) override;
-    void on_fenced(worker_watch& watch) override;
+    void on_silent(worker_lease& watch, std::string const& problem) override;
+    void on_lost(worker_lease& watch, std::string const& reason) override;
+    void on_fenced(worker_lease& watch) override;
     void begin_new_life(tracked_worker& tracked, std::string const& id);
-    void take_end(worker_watch& watch, ended_task const& end);
-    void record_end(
-        worker_watch& watch, ended_task const& end, bool job_ended);
-    void reconcile(pool_worker& worker, watch_result const& report,
-        time_point asked_at);
+    void take_end(worker_lease& watch, ended_task const& end);
+    void record_end(worker_lease& watch, ended_task const& end, bool job_ended);
+    void reconcile(
+        pool_worker& worker, watch_result const& report, time_point asked_at);
     void adopt(pool_worker& worker, running_task const& running);
     void lose_holds(std::string const& id, std::string const& reason);
     void sweep();
--- a/include/toucanlever/cell/end_journal.hpp
+++ b/include/toucanlever/cell/end_journal.hpp
@@ -14,7 +14,7 @@
 {
 
 /// A run of a task that succeeded or failed.
-struct journal_entry
+struct end_record
 {
     task_id task;
     std::uint64_t run = 0;
@@ -39,7 +39,7 @@
     ~end_journal();
 
     /// `done` is called once the entry is durable.
-    void append(journal_entry entry, std::function<void()> done);
+    void append(end_record entry, std::function<void()> done);
 
     /// Entries that are not durable yet.
     std::size_t backlog() const
@@ -48,12 +48,12 @@
     }
 
     /// The entries of one row of the journal.
-    static std::vector<journal_entry> decode(std::string const& value);
+    static std::vector<end_record> decode(std::string const& value);
 
 private:
     struct item
     {
-        journal_entry entry;
+        end_record entry;
         std::function<void()> done;
     };
 
--- a/include/toucanlever/cell/job_acceptor.hpp
+++ b/include/toucanlever/cell/job_acceptor.hpp
@@ -41,7 +41,8 @@
     job_acceptor(event_loop& loop, record_store& store, std::string part);
     ~job_acceptor();
 
-    /// Tries until `patience` is over.
+    /// One attempt, unless that leaves it in doubt: then until it is known
+    /// or `patience` is over.
     void accept(
         work_record const& record, milliseconds patience, callback done);
 
@@ -64,6 +65,7 @@
     void flush();
     void take(change_result const& result);
     void settle(std::vector<submission> sent, change_result const& result);
+    void refuse_unsent();
     void retry();
 
     event_loop& loop;
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -6,10 +6,10 @@
 #include "toucanlever/core/enum_names.hpp"
 #include "toucanlever/core/resources.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace toucanlever
@@ -106,7 +106,12 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
 
-    auto operator<=>(step_id const&) const = default;
+    bool operator==(step_id const&) const = default;
+    bool operator<(step_id const& other) const
+    {
+        return std::tie(this->job, this->occurrence, this->step) <
+               std::tie(other.job, other.occurrence, other.step);
+    }
 
     MSGPACK_DEFINE(job, occurrence, step)
 };
@@ -117,7 +122,12 @@
     step_id step;
     std::uint32_t index = 0;
 
-    auto operator<=>(task_id const&) const = default;
+    bool operator==(task_id const&) const = default;
+    bool operator<(task_id const& other) const
+    {
+        return std::tie(this->step, this->index) <
+               std::tie(other.step, other.index);
+    }
 
     MSGPACK_DEFINE(step, index)
 };
--- a/include/toucanlever/cell/work_board.hpp
+++ b/include/toucanlever/cell/work_board.hpp
@@ -70,7 +70,7 @@
 struct board_job
 {
     work_record record;
-    /// The store's version of its record.
+    /// The lowest version of its records in the store.
     std::int64_t version = 0;
     work_state state = work_state::queued;
     /// The store knows enough to conclude `state` again.
@@ -108,7 +108,11 @@
     std::int64_t latest_start_ms = 0;
     step_id id;
 
-    auto operator<=>(step_rank const&) const = default;
+    bool operator<(step_rank const& other) const
+    {
+        return std::tie(this->priority, this->latest_start_ms, this->id) <
+               std::tie(other.priority, other.latest_start_ms, other.id);
+    }
 };
 
 /// All jobs that are open or ended lately.
@@ -128,15 +132,15 @@
     std::int64_t make_due(std::int64_t wall_ms, time_point now);
 
     /// A task holds room on a worker from now on.
-    void placed(task_id const& task, std::uint64_t run,
-        std::string const& worker);
+    void placed(
+        task_id const& task, std::uint64_t run, std::string const& worker);
 
     /// A task holds none any more and waits again.
     void unplaced(task_id const& task);
 
     /// A run succeeded or failed. `whole_step` is a gang's success.
-    end_effect ended(task_id const& task, std::uint64_t run, run_end how,
-        time_point now);
+    end_effect ended(
+        task_id const& task, std::uint64_t run, run_end how, time_point now);
 
     /// Ends the job; false when it had ended.
     bool cancel(std::string const& job, time_point now);
@@ -165,8 +169,8 @@
     bool fail(board_job const& job, board_step& step, board_task& task,
         std::uint64_t run);
     /// Ends the job when its last occurrence has ended; true then.
-    bool finish_occurrence(board_job& job, std::uint32_t occurrence,
-        time_point now);
+    bool finish_occurrence(
+        board_job& job, std::uint32_t occurrence, time_point now);
     step_rank rank_of(board_job const& job, board_step const& step) const;
     bool is_ready(board_job const& job, board_step const& step) const;
     void finish(board_job& job, work_state state, time_point now);
--- a/include/toucanlever/cell/worker_watch.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -14,42 +14,42 @@
 namespace toucanlever
 {
 
-class worker_watch;
+class worker_lease;
 
 /// Hears of one worker; called on the loop's thread. The watch may be
 /// destroyed from within a call.
-class worker_watch_listener
+class worker_lease_listener
 {
 public:
-    virtual ~worker_watch_listener() = default;
+    virtual ~worker_lease_listener() = default;
 
     /// The worker answered a call that was sent at `asked_at`.
-    virtual void on_report(worker_watch& watch, watch_result const& report,
+    virtual void on_report(worker_lease& watch, watch_result const& report,
         time_point asked_at) = 0;
 
     /// Calls fail, and what ran there may go on.
-    virtual void on_silent(worker_watch& watch, std::string const& problem) = 0;
+    virtual void on_silent(worker_lease& watch, std::string const& problem) = 0;
 
     /// What ran there has ended for sure: the lease is over, or the worker
     /// began anew.
-    virtual void on_lost(worker_watch& watch, std::string const& reason) = 0;
+    virtual void on_lost(worker_lease& watch, std::string const& reason) = 0;
 
     /// The worker obeys a higher fencing token.
-    virtual void on_fenced(worker_watch& watch) = 0;
+    virtual void on_fenced(worker_lease& watch) = 0;
 };
 
 /// One worker.
-class worker_watch
+class worker_lease
 {
 public:
     /// No lease reaches beyond `lease_limit`: a later scheduler counts on it.
-    worker_watch(event_loop& loop, worker_orders& orders, worker_target target,
+    worker_lease(event_loop& loop, worker_orders& orders, worker_target target,
         std::uint64_t fence, std::function<time_point()> lease_limit,
-        worker_watch_listener& listener);
+        worker_lease_listener& listener);
 
     /// How far beyond a holder's last confirmed beat its leases may reach.
     static constexpr milliseconds lease_after_beat{8500};
-    ~worker_watch();
+    ~worker_lease();
 
     worker_target const& target() const { return this->worker; }
 
@@ -82,7 +82,7 @@
     worker_target worker;
     std::uint64_t fence;
     std::function<time_point()> lease_limit;
-    worker_watch_listener& listener;
+    worker_lease_listener& listener;
     time_point created;
     // The worker's clock as it stood when an answer came; -1 for none.
     std::int64_t clock_ms = -1;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -102,7 +102,8 @@
     bool release(std::string const& worker, task_id const& task);
 
     /// The outcome of a run counts for the worker's health.
-    void note_outcome(std::string const& worker, bool succeeded, time_point now);
+    void note_outcome(
+        std::string const& worker, bool succeeded, time_point now);
 
 private:
     worker_map by_id;
--- a/include/toucanlever/core/event_loop.hpp
+++ b/include/toucanlever/core/event_loop.hpp
@@ -50,6 +50,9 @@
     /// Calls `work` at the first SIGTERM or SIGINT instead of stopping.
     void on_stop_signal(message work);
 
+    /// Calls `work` at each SIGHUP, which does nothing otherwise.
+    void on_reload_signal(message work);
+
     time_point now() const { return this->time.now(); }
     clock const& time_source() const { return this->time; }
     ACE_Reactor& reactor();
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -105,8 +105,7 @@
             continue;
         }
         log_line("member-unheard").with("member", entry->first);
-        std::erase_if(this->lanes,
-            [&entry](advice_lane const& lane)
+        std::erase_if(this->lanes, [&entry](advice_lane const& lane)
             { return lane.name == entry->first; });
         entry = this->members.erase(entry);
     }
@@ -166,8 +165,7 @@
     member& entry = this->members.at(name);
     if (!entry.link->connected())
     {
-        this->loop.post(
-            [done = std::move(done)] { done(advice_result{}); });
+        this->loop.post([done = std::move(done)] { done(advice_result{}); });
         return;
     }
     milliseconds timeout =
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -28,14 +28,12 @@
     , acceptor(this->parts.loop, this->parts.store, settings.name)
 {
     event_loop& loop = this->parts.loop;
-    this->server = std::make_unique<rpc_server>(
-        loop, settings.peer_address,
+    this->server = std::make_unique<rpc_server>(loop, settings.peer_address,
         static_cast<rpc_handler&>(*this), rpc_timing{});
     leader_row self{settings.name,
         make_incarnation(settings.failure_domain, settings.name),
         settings.peer_address, 0, false};
-    this->election = std::make_unique<leadership>(
-        loop, this->parts.store, self,
+    this->election = std::make_unique<leadership>(loop, this->parts.store, self,
         static_cast<leadership_listener&>(*this));
     this->hello = loop.every(hello_period, [this] { this->say_hello(); });
 }
@@ -103,8 +101,7 @@
 {
     if (this->leader && this->leader->connected())
     {
-        member_hello message{
-            this->settings.name, this->settings.peer_address};
+        member_hello message{this->settings.name, this->settings.peer_address};
         this->leader->request(message_type::member_hello, pack(message),
             hello_period, [](rpc_result const&) {});
     }
@@ -121,18 +118,29 @@
 void cell_node::submit(work_record record, milliseconds patience,
     std::function<void(accept_result)> done)
 {
-    bool forward = this->acceptor.is_store_away() && !this->scheduler &&
-                   this->leader && this->leader->connected();
-    if (forward)
+    if (this->acceptor.is_store_away())
     {
+        this->acceptor.probe();
         this->forward(record, patience, std::move(done));
         return;
     }
+    time_point give_up = this->parts.loop.now() + patience;
     this->acceptor.accept(record, patience,
-        [this, record, done = std::move(done), alive = this->alive](
+        [this, record, give_up, done = std::move(done), alive = this->alive](
             accept_result const& result)
         {
-            if (*alive && result.version > 0)
+            if (!*alive)
+            {
+                return;
+            }
+            if (result.outcome == accept_outcome::not_stored)
+            {
+                auto left = std::chrono::duration_cast<milliseconds>(
+                    give_up - this->parts.loop.now());
+                this->forward(record, left, done);
+                return;
+            }
+            if (result.version > 0)
             {
                 this->announce(record, result.version);
             }
@@ -143,15 +151,21 @@
 void cell_node::forward(work_record const& record, milliseconds patience,
     std::function<void(accept_result)> done)
 {
+    bool possible = !this->scheduler && this->leader &&
+                    this->leader->connected() && patience > milliseconds(0);
+    if (!possible)
+    {
+        done({accept_outcome::not_stored, 0});
+        return;
+    }
     metrics().count("jobs_forwarded");
-    this->acceptor.probe();
     this->leader->request(message_type::work_submit,
         pack(work_submit{record, patience.count()}), patience,
         [done = std::move(done)](rpc_result const& result)
         {
-            bool answered = !result.problem && result.reply &&
-                            result.reply->type ==
-                                message_type::work_submit_reply;
+            bool answered =
+                !result.problem && result.reply &&
+                result.reply->type == message_type::work_submit_reply;
             if (answered)
             {
                 auto reply =
@@ -245,8 +259,7 @@
 
     void add(read_result const& result)
     {
-        this->failed =
-            this->failed || result.outcome != read_outcome::answered;
+        this->failed = this->failed || result.outcome != read_outcome::answered;
         for (record const& row : result.rows)
         {
             this->found.outcome = lookup_outcome::found;
@@ -259,8 +272,8 @@
 
     lookup_result result() const
     {
-        bool unsure = this->failed &&
-                      this->found.outcome == lookup_outcome::no_such_job;
+        bool unsure =
+            this->failed && this->found.outcome == lookup_outcome::no_such_job;
         return unsure ? lookup_result{} : this->found;
     }
 };
@@ -403,6 +416,8 @@
     case message_type::work_submit:
     {
         auto message = unpack<work_submit>(request.body, peer);
+        // From here it is not sent on: two instances that take each other
+        // for the active scheduler would not end.
         this->submit(std::move(message.record),
             milliseconds(message.patience_ms),
             [respond = std::move(respond)](accept_result const& result)
@@ -414,17 +429,16 @@
         return;
     }
     case message_type::work_cancelled:
-        this->scheduler->cancel(
-            unpack<work_cancelled>(request.body, peer).job);
+        this->scheduler->cancel(unpack<work_cancelled>(request.body, peer).job);
         respond(message_type::ack, {});
         return;
     case message_type::work_query:
     {
         auto state = this->scheduler->state_of(
             unpack<work_query>(request.body, peer).job);
-        respond(message_type::work_reply,
-            pack(work_reply{
-                state.has_value(), state.value_or(work_state::queued)}));
+        respond(
+            message_type::work_reply, pack(work_reply{state.has_value(),
+                                          state.value_or(work_state::queued)}));
         return;
     }
     case message_type::queue_query:
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -45,13 +45,12 @@
     record_store& store = this->parts.store;
     // Jobs also come from the instances that accepted them, so this only
     // repairs what was lost on the way.
-    follow_plan jobs{tables::jobs, {}, milliseconds(1000),
-        milliseconds(300)};
+    follow_plan jobs{tables::jobs, {}, milliseconds(1000), milliseconds(300)};
     this->job_follower = std::make_unique<record_follower>(loop, store, jobs,
         [this](std::vector<record> const& rows, bool)
         { this->on_job_rows(rows); });
-    follow_plan list{this->parts.worker_table, {""}, milliseconds(1000),
-        milliseconds(20)};
+    follow_plan list{
+        this->parts.worker_table, {""}, milliseconds(1000), milliseconds(20)};
     this->worker_follower = std::make_unique<record_follower>(loop, store, list,
         [this](std::vector<record> const& rows, bool whole)
         { this->on_worker_rows(rows, whole); });
@@ -69,8 +68,7 @@
             this->roster_rows = std::move(rows);
             this->load_if_complete();
         });
-    this->sweep_timer =
-        loop.every(sweep_period, [this] { this->sweep(); });
+    this->sweep_timer = loop.every(sweep_period, [this] { this->sweep(); });
 }
 
 dispatcher::~dispatcher()
@@ -91,8 +89,8 @@
         {
             try
             {
-                this->accept(
-                    unpack<work_record>(row.value, "record-store"), row.version);
+                this->accept(unpack<work_record>(row.value, "record-store"),
+                    row.version);
             }
             catch (error const& problem)
             {
@@ -120,9 +118,9 @@
     std::set<std::string> listed;
     for (record const& row : rows)
     {
-        auto entry = row.removed ? std::nullopt
-                                 : this->parts.decode_worker(
-                                       row.at.key, row.value);
+        auto entry = row.removed
+                         ? std::nullopt
+                         : this->parts.decode_worker(row.at.key, row.value);
         if (entry)
         {
             listed.insert(entry->id);
@@ -189,7 +187,7 @@
     time_point now = this->parts.loop.now();
     for (record const& row : *this->journal_rows)
     {
-        for (journal_entry const& entry : end_journal::decode(row.value))
+        for (end_record const& entry : end_journal::decode(row.value))
         {
             this->board.ended(entry.task, entry.run, entry.how, now);
         }
@@ -221,13 +219,12 @@
     }
 }
 
-void dispatcher::begin_watch(
-    tracked_worker& tracked, worker_entry const& entry)
+void dispatcher::begin_watch(tracked_worker& tracked, worker_entry const& entry)
 {
-    tracked.watch = std::make_unique<worker_watch>(this->parts.loop,
+    tracked.watch = std::make_unique<worker_lease>(this->parts.loop,
         this->parts.orders, worker_target{entry.id, entry.address},
         this->proof.fence, this->parts.lease_limit,
-        static_cast<worker_watch_listener&>(*this));
+        static_cast<worker_lease_listener&>(*this));
 }
 
 void dispatcher::unlist_worker(std::string const& id)
@@ -332,8 +329,8 @@
 void dispatcher::accept(work_record record, std::int64_t version)
 {
     std::string id = record.id;
-    if (this->board.add(std::move(record), version, wall_time_ms(),
-            this->parts.loop.now()))
+    if (this->board.add(
+            std::move(record), version, wall_time_ms(), this->parts.loop.now()))
     {
         metrics().count("jobs_accepted");
         if (this->cancelled_early.erase(id) > 0)
@@ -397,8 +394,7 @@
 
 bool dispatcher::may_start(board_job const& job) const
 {
-    return this->unreconciled.empty() ||
-           job.version > this->proof.row_version;
+    return this->unreconciled.empty() || job.version > this->proof.row_version;
 }
 
 void dispatcher::plan()
@@ -440,8 +436,7 @@
     request.max_per_worker = spec.max_per_worker;
     request.required_label = spec.required_label;
     request.data_rack = spec.data_rack;
-    queue_terms const* terms =
-        this->parts.queues.terms(job.record.queue.name);
+    queue_terms const* terms = this->parts.queues.terms(job.record.queue.name);
     request.service =
         terms != nullptr ? terms->service : job.record.queue.service;
     for (board_task const& task : step.tasks)
@@ -473,8 +468,7 @@
     bool advised = job->record.queue.advice.required;
     request.allowed = [&](std::string const& worker)
     {
-        return !kept.contains(worker) &&
-               this->workers.at(worker).recorded &&
+        return !kept.contains(worker) && this->workers.at(worker).recorded &&
                (!advised || step->advice.approved.contains(worker));
     };
     std::vector<std::string> chosen =
@@ -515,8 +509,8 @@
         }
     }
     return lacking.empty() ||
-           (!step.advice.pending && this->parts.advice.has_lane(
-                                        decision_time(job, lacking.size())));
+           (!step.advice.pending &&
+               this->parts.advice.has_lane(decision_time(job, lacking.size())));
 }
 
 void dispatcher::keep_room(board_step const& step,
@@ -525,10 +519,10 @@
     std::vector<std::pair<std::int64_t, std::string>> freest;
     for (auto const& [id, worker] : this->pool.all())
     {
-        bool fitting = worker.usable(this->parts.loop.now()) &&
-                       suits(worker.entry, request) && !kept.contains(id) &&
-                       (step.advice.asked.empty() ||
-                           step.advice.approved.contains(id));
+        bool fitting =
+            worker.usable(this->parts.loop.now()) &&
+            suits(worker.entry, request) && !kept.contains(id) &&
+            (step.advice.asked.empty() || step.advice.approved.contains(id));
         if (fitting)
         {
             freest.emplace_back(-worker.free.cpu_millis, id);
@@ -578,8 +572,8 @@
             continue;
         }
         room_hold wanted;
-        wanted.run = step.spec->gang ? gang_run
-                                     : std::max(gang_run, task.run + 1);
+        wanted.run =
+            step.spec->gang ? gang_run : std::max(gang_run, task.run + 1);
         wanted.need = need;
         task_id id{step.id, i};
         this->pool.hold(*this->pool.find(chosen[next]), id, wanted);
@@ -639,8 +633,8 @@
     return this->ask(job, step, workers);
 }
 
-bool dispatcher::ask(board_job& job, board_step& step,
-    std::vector<std::string> const& workers)
+bool dispatcher::ask(
+    board_job& job, board_step& step, std::vector<std::string> const& workers)
 {
     microseconds duration = decision_time(job, workers.size());
     if (!this->parts.advice.has_lane(duration))
@@ -715,8 +709,7 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         board_task const& task = step.tasks[i];
-        room_hold* hold =
-            this->find_hold(task.worker, {step.id, i}, task.run);
+        room_hold* hold = this->find_hold(task.worker, {step.id, i}, task.run);
         if (hold == nullptr || hold->phase != hold_phase::reserved)
         {
             continue;
@@ -802,7 +795,7 @@
     board_task const& task = step.tasks[index];
     task_id id{step.id, index};
     std::string worker = task.worker;
-    worker_watch& watch = *this->workers.at(worker).watch;
+    worker_lease& watch = *this->workers.at(worker).watch;
     room_hold* hold = this->find_hold(worker, id, task.run);
     hold->phase = hold_phase::starting;
     start_order order;
@@ -1027,8 +1020,8 @@
 // ---------------------------------------------------------------------------
 // Reports
 
-void dispatcher::on_report(worker_watch& watch, watch_result const& report,
-    time_point asked_at)
+void dispatcher::on_report(
+    worker_lease& watch, watch_result const& report, time_point asked_at)
 {
     std::string id = watch.target().id;
     tracked_worker& tracked = this->workers.at(id);
@@ -1060,7 +1053,7 @@
     this->plan_soon();
 }
 
-void dispatcher::on_silent(worker_watch& watch, std::string const& problem)
+void dispatcher::on_silent(worker_lease& watch, std::string const& problem)
 {
     pool_worker& worker = *this->pool.find(watch.target().id);
     if (!worker.silent)
@@ -1073,7 +1066,7 @@
     }
 }
 
-void dispatcher::on_lost(worker_watch& watch, std::string const& reason)
+void dispatcher::on_lost(worker_lease& watch, std::string const& reason)
 {
     std::string id = watch.target().id;
     pool_worker& worker = *this->pool.find(id);
@@ -1090,7 +1083,7 @@
     this->plan_soon();
 }
 
-void dispatcher::on_fenced(worker_watch& watch)
+void dispatcher::on_fenced(worker_lease& watch)
 {
     this->on_replaced(
         "worker " + watch.target().id + " obeys a later scheduler");
@@ -1130,7 +1123,7 @@
     }
 }
 
-void dispatcher::take_end(worker_watch& watch, ended_task const& end)
+void dispatcher::take_end(worker_lease& watch, ended_task const& end)
 {
     if (end.number <= watch.last_end())
     {
@@ -1164,8 +1157,8 @@
     {
         for (board_task& task : step->tasks)
         {
-            bool same = step->spec->gang ||
-                        &task == &step->tasks[end.task.index];
+            bool same =
+                step->spec->gang || &task == &step->tasks[end.task.index];
             task.checkpoint = same ? end.checkpoint : task.checkpoint;
         }
     }
@@ -1192,15 +1185,14 @@
             this->stop_job(end.task.step.job);
         }
     }
-    else if (step->spec->gang && end.how != run_end::succeeded &&
-             !step->done())
+    else if (step->spec->gang && end.how != run_end::succeeded && !step->done())
     {
         this->break_gang(end.task.step);
     }
 }
 
 void dispatcher::record_end(
-    worker_watch& watch, ended_task const& end, bool job_ended)
+    worker_lease& watch, ended_task const& end, bool job_ended)
 {
     if (job_ended)
     {
@@ -1223,8 +1215,8 @@
         });
 }
 
-void dispatcher::reconcile(pool_worker& worker, watch_result const& report,
-    time_point asked_at)
+void dispatcher::reconcile(
+    pool_worker& worker, watch_result const& report, time_point asked_at)
 {
     std::set<task_id> listed;
     for (running_task const& running : report.running)
@@ -1337,10 +1329,10 @@
         this->pool.remove(entry->first);
         entry = this->workers.erase(entry);
     }
-    metrics().set("jobs_open", static_cast<std::int64_t>(
-                                   this->board.all().size()));
-    metrics().set("steps_ready", static_cast<std::int64_t>(
-                                     this->board.ready().size()));
+    metrics().set(
+        "jobs_open", static_cast<std::int64_t>(this->board.all().size()));
+    metrics().set(
+        "steps_ready", static_cast<std::int64_t>(this->board.ready().size()));
     this->plan_soon();
 }
 
--- a/src/cell/end_journal.cpp
+++ b/src/cell/end_journal.cpp
@@ -39,7 +39,7 @@
     this->loop.cancel(this->timer);
 }
 
-void end_journal::append(journal_entry entry, std::function<void()> done)
+void end_journal::append(end_record entry, std::function<void()> done)
 {
     this->open.push_back({std::move(entry), std::move(done)});
     if (this->sent.empty() && this->open.size() == 1)
@@ -75,7 +75,7 @@
 
 void end_journal::send()
 {
-    std::vector<journal_entry> entries;
+    std::vector<end_record> entries;
     for (item const& one : this->sent)
     {
         entries.push_back(one.entry);
@@ -116,8 +116,8 @@
     if (this->is_written(result))
     {
         metrics().count("journal_writes");
-        metrics().count("journal_entries",
-            static_cast<std::int64_t>(this->sent.size()));
+        metrics().count(
+            "journal_entries", static_cast<std::int64_t>(this->sent.size()));
         std::vector<item> durable = std::move(this->sent);
         this->sent.clear();
         if (!this->open.empty())
@@ -141,9 +141,9 @@
     this->timer = this->loop.after(retry_delay, [this] { this->send(); });
 }
 
-std::vector<journal_entry> end_journal::decode(std::string const& value)
+std::vector<end_record> end_journal::decode(std::string const& value)
 {
-    return unpack<std::vector<journal_entry>>(value, "record-store");
+    return unpack<std::vector<end_record>>(value, "record-store");
 }
 
 } // namespace toucanlever
--- a/src/cell/job_acceptor.cpp
+++ b/src/cell/job_acceptor.cpp
@@ -116,6 +116,10 @@
     std::vector<submission> batch = std::move(this->sent);
     this->sent.clear();
     this->settle(std::move(batch), result);
+    if (!answered)
+    {
+        this->refuse_unsent();
+    }
     if (answered)
     {
         this->flush();
@@ -128,6 +132,8 @@
     std::vector<submission> batch, change_result const& result)
 {
     metrics().count("accept_batches");
+    bool answered = result.outcome == change_outcome::committed ||
+                    result.outcome == change_outcome::conflict;
     std::set<std::string> present;
     for (record const& row : result.current)
     {
@@ -150,11 +156,13 @@
         {
             one.done({accept_outcome::stored, 0});
         }
-        else if (now >= one.give_up)
+        else if (now >= one.give_up && one.in_doubt)
         {
-            one.done({one.in_doubt ? accept_outcome::unknown
-                                   : accept_outcome::not_stored,
-                0});
+            one.done({accept_outcome::unknown, 0});
+        }
+        else if (!answered && !one.in_doubt)
+        {
+            one.done({accept_outcome::not_stored, 0});
         }
         else
         {
@@ -166,6 +174,22 @@
         std::make_move_iterator(again.end()));
 }
 
+void job_acceptor::refuse_unsent()
+{
+    // The store is away: what was never sent can be told so at once.
+    std::vector<submission> doubtful;
+    std::vector<submission> unsent;
+    for (submission& one : this->waiting)
+    {
+        (one.in_doubt ? doubtful : unsent).push_back(std::move(one));
+    }
+    this->waiting = std::move(doubtful);
+    for (submission const& one : unsent)
+    {
+        one.done({accept_outcome::not_stored, 0});
+    }
+}
+
 void job_acceptor::retry()
 {
     this->retrying = true;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -2,7 +2,7 @@
 
 #include "cell/cell_tables.hpp"
 
-#include "toucanlever/cell/worker_watch.hpp"
+#include "toucanlever/cell/worker_lease.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/wire/codec.hpp"
 
@@ -117,8 +117,7 @@
     // Only a fresh copy of the rows shows that a beat is missing.
     bool fresh = this->follower->has_read() &&
                  this->loop.now() - this->follower->fresh_at() < vacant_after;
-    if (this->resigned || this->attempt_pending || !fresh ||
-        !this->is_vacant())
+    if (this->resigned || this->attempt_pending || !fresh || !this->is_vacant())
     {
         return;
     }
@@ -181,9 +180,7 @@
     this->leader_version = std::max(this->leader_version, version);
     this->held = holder_proof{claim.fence, version};
     this->beat_confirmed = this->loop.now().time_since_epoch();
-    log_line("elected")
-        .with("fence", claim.fence)
-        .with("row_version", version);
+    log_line("elected").with("fence", claim.fence).with("row_version", version);
     this->beat();
     this->listener.on_elected(*this->held);
 }
@@ -225,14 +222,14 @@
 
 bool leadership::may_start_work() const
 {
-    return this->held && this->loop.now().time_since_epoch() -
-                                 this->beat_confirmed <
-                             permission;
+    return this->held &&
+           this->loop.now().time_since_epoch() - this->beat_confirmed <
+               permission;
 }
 
 time_point leadership::lease_limit() const
 {
-    return time_point(this->beat_confirmed) + worker_watch::lease_after_beat;
+    return time_point(this->beat_confirmed) + worker_lease::lease_after_beat;
 }
 
 void leadership::step_down(std::string const& reason)
--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -58,8 +58,8 @@
     {
         this->version = result.version;
     }
-    std::move(result.rows.begin(), result.rows.end(),
-        std::back_inserter(this->rows));
+    std::move(
+        result.rows.begin(), result.rows.end(), std::back_inserter(this->rows));
     if (result.more && !result.rows.empty())
     {
         // The next key in byte order.
@@ -69,8 +69,8 @@
     this->done(std::move(this->rows), this->version);
 }
 
-record_follower::record_follower(event_loop& loop, record_store& store,
-    follow_plan plan, callback on_rows)
+record_follower::record_follower(
+    event_loop& loop, record_store& store, follow_plan plan, callback on_rows)
     : loop(loop)
     , store(store)
     , plan(std::move(plan))
@@ -106,9 +106,9 @@
                 this->read_parts(*parts);
                 return;
             }
-            this->timer = this->loop.after(
-                backoff_delay(1, retry_min, retry_max),
-                [this] { this->read_whole(); });
+            this->timer =
+                this->loop.after(backoff_delay(1, retry_min, retry_max),
+                    [this] { this->read_whole(); });
         });
 }
 
@@ -187,8 +187,7 @@
     if (result.outcome == read_outcome::failed)
     {
         ++this->failures;
-        this->follow_after(
-            backoff_delay(this->failures, retry_min, retry_max));
+        this->follow_after(backoff_delay(this->failures, retry_min, retry_max));
         return;
     }
     this->failures = 0;
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -58,9 +58,8 @@
     {
         bool far = !request.data_rack.empty() &&
                    one.worker->entry.rack != request.data_rack;
-        return std::tuple(one.worker->failures > 0, far,
-            one.free.cpu_millis, one.free.memory_bytes,
-            std::string_view(one.worker->entry.id));
+        return std::tuple(one.worker->failures > 0, far, one.free.cpu_millis,
+            one.free.memory_bytes, std::string_view(one.worker->entry.id));
     };
     return rank(left) < rank(right);
 }
--- a/src/cell/work_board.cpp
+++ b/src/cell/work_board.cpp
@@ -49,6 +49,10 @@
     auto [place, inserted] = this->jobs.try_emplace(id);
     if (!inserted)
     {
+        // Two instances may have stored it; an earlier scheduler may have
+        // started it from the first record on.
+        board_job& known = *place->second;
+        known.version = std::min(known.version, version);
         return false;
     }
     place->second = std::make_unique<board_job>();
@@ -250,9 +254,8 @@
         this->succeed(*step, entry);
         effect.step_done = step->done();
         this->refresh_all(job, task.step.occurrence, now);
-        effect.job_ended =
-            effect.step_done &&
-            this->finish_occurrence(job, task.step.occurrence, now);
+        effect.job_ended = effect.step_done && this->finish_occurrence(job,
+                                                   task.step.occurrence, now);
     }
     else if (how == run_end::failed && this->fail(job, *step, entry, run))
     {
@@ -277,8 +280,8 @@
     }
 }
 
-bool work_board::fail(board_job const& job, board_step& step, board_task& task,
-    std::uint64_t run)
+bool work_board::fail(
+    board_job const& job, board_step& step, board_task& task, std::uint64_t run)
 {
     std::set<std::uint64_t>& failed =
         step.spec->gang ? step.failed_runs : task.failed_runs;
--- a/src/cell/worker_watch.cpp
+++ b/src/cell/worker_lease.cpp
@@ -1,4 +1,4 @@
-#include "toucanlever/cell/worker_watch.hpp"
+#include "toucanlever/cell/worker_lease.hpp"
 
 #include <algorithm>
 
@@ -28,9 +28,9 @@
 
 } // namespace
 
-worker_watch::worker_watch(event_loop& loop, worker_orders& orders,
+worker_lease::worker_lease(event_loop& loop, worker_orders& orders,
     worker_target target, std::uint64_t fence,
-    std::function<time_point()> lease_limit, worker_watch_listener& listener)
+    std::function<time_point()> lease_limit, worker_lease_listener& listener)
     : loop(loop)
     , orders(orders)
     , worker(std::move(target))
@@ -42,13 +42,13 @@
     this->schedule(milliseconds(0));
 }
 
-worker_watch::~worker_watch()
+worker_lease::~worker_lease()
 {
     *this->alive = false;
     this->loop.cancel(this->timer);
 }
 
-void worker_watch::schedule(milliseconds delay)
+void worker_lease::schedule(milliseconds delay)
 {
     this->loop.cancel(this->timer);
     this->timer = this->loop.after(delay,
@@ -59,14 +59,14 @@
         });
 }
 
-std::int64_t worker_watch::clock_now() const
+std::int64_t worker_lease::clock_now() const
 {
     auto since = std::chrono::duration_cast<milliseconds>(
         this->loop.now() - this->clock_read);
     return this->clock_ms + since.count();
 }
 
-std::int64_t worker_watch::grant_lease()
+std::int64_t worker_lease::grant_lease()
 {
     if (this->clock_ms < 0)
     {
@@ -86,22 +86,21 @@
     return this->granted_until;
 }
 
-time_point worker_watch::lease_over() const
+time_point worker_lease::lease_over() const
 {
     if (this->clock_ms < 0)
     {
         // Only an earlier scheduler can have granted one, before this began.
         return this->created +
-               lease_after_beat * permille / slow_clock_permille +
-               lease_margin;
+               lease_after_beat * permille / slow_clock_permille + lease_margin;
     }
-    std::int64_t left = std::max<std::int64_t>(
-        this->granted_until - this->clock_ms, 0);
+    std::int64_t left =
+        std::max<std::int64_t>(this->granted_until - this->clock_ms, 0);
     return this->clock_read +
            milliseconds(left * permille / slow_clock_permille) + lease_margin;
 }
 
-void worker_watch::ask()
+void worker_lease::ask()
 {
     if (this->in_flight)
     {
@@ -112,8 +111,8 @@
     order.fence = this->fence;
     order.lease_until_ms = this->grant_lease();
     order.acknowledged = this->acknowledged;
-    bool wait = this->clock_ms >= 0 && this->failures == 0 &&
-                this->unsettled.empty();
+    bool wait =
+        this->clock_ms >= 0 && this->failures == 0 && this->unsettled.empty();
     order.wait_ms = wait ? wait_for_end.count() : 0;
     time_point asked_at = this->loop.now();
     this->orders.watch(this->worker, order,
@@ -127,7 +126,7 @@
         });
 }
 
-void worker_watch::take(watch_result const& result, time_point asked_at)
+void worker_lease::take(watch_result const& result, time_point asked_at)
 {
     if (result.outcome == order_outcome::refused_fenced)
     {
@@ -158,7 +157,7 @@
     }
 }
 
-void worker_watch::take_failure(watch_result const& result)
+void worker_lease::take_failure(watch_result const& result)
 {
     ++this->failures;
     this->schedule(retry_gap);
@@ -176,13 +175,13 @@
     }
 }
 
-void worker_watch::note_end(std::int64_t number)
+void worker_lease::note_end(std::int64_t number)
 {
     this->last_number = std::max(this->last_number, number);
     this->unsettled.emplace(number, false);
 }
 
-void worker_watch::settle_end(std::int64_t number)
+void worker_lease::settle_end(std::int64_t number)
 {
     auto found = this->unsettled.find(number);
     if (found == this->unsettled.end())
@@ -201,7 +200,7 @@
     }
 }
 
-void worker_watch::reset_life()
+void worker_lease::reset_life()
 {
     this->last_number = 0;
     this->acknowledged = 0;
@@ -209,7 +208,7 @@
     this->granted_until = 0;
 }
 
-void worker_watch::ask_soon()
+void worker_lease::ask_soon()
 {
     if (!this->in_flight)
     {
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -24,8 +24,7 @@
 
 std::size_t handle_limit()
 {
-    return static_cast<std::size_t>(
-        std::min(most_handles, ACE::max_handles()));
+    return static_cast<std::size_t>(std::min(most_handles, ACE::max_handles()));
 }
 
 /// Lets ACE's timer queue read the runtime's clock.
@@ -147,12 +146,20 @@
         return 0;
     }
 
-    int handle_signal(int, siginfo_t*, ucontext_t*) override
+    int handle_signal(int signal, siginfo_t*, ucontext_t*) override
     {
-        this->signalled = true;
+        (signal == SIGHUP ? this->reload_signalled : this->signalled) = true;
         return 0;
     }
 
+    void handle_reload_signal()
+    {
+        if (this->reload_signalled.exchange(false) && this->reload_work)
+        {
+            this->reload_work();
+        }
+    }
+
     void handle_stop_signal()
     {
         if (!this->signalled.exchange(false))
@@ -175,7 +182,9 @@
     std::mutex mutex;
     std::deque<message> messages;
     message stop_work;
+    message reload_work;
     std::atomic<bool> signalled = false;
+    std::atomic<bool> reload_signalled = false;
     std::atomic<bool> stopping = false;
 };
 
@@ -193,12 +202,14 @@
     ACE_Sig_Set signals;
     signals.sig_add(SIGTERM);
     signals.sig_add(SIGINT);
+    signals.sig_add(SIGHUP);
     this->pimpl->reactor.register_handler(signals, this->pimpl.get());
     while (!this->pimpl->stopping)
     {
         ACE_Time_Value slice(0, 200000);
         this->pimpl->reactor.handle_events(slice);
         this->pimpl->handle_stop_signal();
+        this->pimpl->handle_reload_signal();
     }
 }
 
@@ -258,6 +269,11 @@
     this->pimpl->stop_work = std::move(work);
 }
 
+void event_loop::on_reload_signal(message work)
+{
+    this->pimpl->reload_work = std::move(work);
+}
+
 ACE_Reactor& event_loop::reactor()
 {
     return this->pimpl->reactor;
