--- /dev/null
+++ b/tests/unit/advice_broker.tests.cpp
@@ -0,0 +1,76 @@
+#include "toucanlever/cell/advice_broker.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+time_point const now{std::chrono::seconds(100)};
+milliseconds const short_call{8};
+milliseconds const long_call{600};
+
+std::vector<advice_lane> make_lanes(int count)
+{
+    std::vector<advice_lane> lanes;
+    for (int i = 0; i < count; ++i)
+    {
+        lanes.push_back({"lane-" + std::to_string(i), 0, {}, {}});
+    }
+    return lanes;
+}
+
+/// Begins a call as the broker does; false when there is no lane.
+bool begin(std::vector<advice_lane>& lanes, milliseconds duration)
+{
+    advice_lane* lane = pick_lane(lanes, duration, now);
+    if (lane == nullptr)
+    {
+        return false;
+    }
+    ++lane->outstanding;
+    lane->busy_until = std::max(lane->busy_until, now) + duration;
+    return true;
+}
+
+} // namespace
+
+Test(advice_broker, long_calls_leave_half_of_the_lanes_to_short_ones)
+{
+    std::vector<advice_lane> lanes = make_lanes(6);
+    int long_calls = 0;
+    while (begin(lanes, long_call))
+    {
+        ++long_calls;
+    }
+    cr_assert(long_calls == 3);
+    cr_assert(begin(lanes, short_call));
+}
+
+Test(advice_broker, refuses_what_it_cannot_begin_instead_of_queueing_it)
+{
+    std::vector<advice_lane> lanes = make_lanes(2);
+    int calls = 0;
+    while (calls < 100 && begin(lanes, short_call))
+    {
+        ++calls;
+    }
+    // Each lane takes a few short calls ahead of time, and no more.
+    cr_assert(calls == 6);
+}
+
+Test(advice_broker, one_instance_takes_long_calls_too)
+{
+    std::vector<advice_lane> lanes = make_lanes(1);
+    cr_assert(begin(lanes, long_call));
+    cr_assert_not(begin(lanes, short_call));
+}
+
+Test(advice_broker, a_lane_that_failed_rests)
+{
+    std::vector<advice_lane> lanes = make_lanes(1);
+    lanes[0].rest_until = now + milliseconds(1);
+    cr_assert_not(begin(lanes, short_call));
+}
--- /dev/null
+++ b/tests/unit/cell_store.tests.cpp
@@ -0,0 +1,290 @@
+/// What is written to the record store: submissions, ends, and who is active.
+#include "toucanlever/cell/end_journal.hpp"
+#include "toucanlever/cell/job_acceptor.hpp"
+#include "toucanlever/cell/leadership.hpp"
+#include "toucanlever/cell/record_follower.hpp"
+
+#include "cell/cell_tables.hpp"
+#include "fake_record_store.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+/// A loop on a clock that stands still, and a store.
+class store_bench
+{
+public:
+    void pass(milliseconds span)
+    {
+        constexpr int steps = 20;
+        for (int i = 0; i < steps; ++i)
+        {
+            this->time.advance(span / steps);
+            this->loop.run_ready();
+        }
+    }
+
+    manual_clock time;
+    event_loop loop{this->time};
+    fake_record_store store{this->loop};
+};
+
+work_record make_job(std::string const& id)
+{
+    work_record record;
+    record.id = id;
+    record.steps.resize(1);
+    return record;
+}
+
+end_record make_end(std::uint32_t index)
+{
+    return {{{"job", 0, 0}, index}, 1, run_end::succeeded};
+}
+
+/// One instance in an election.
+class candidate final : public leadership_listener
+{
+public:
+    candidate(store_bench& bench, std::string const& name)
+        : part(bench.loop, bench.store,
+              leader_row{name, name + ".1", "127.0.0.1:1", 0, false}, *this)
+    {
+    }
+
+    void on_elected(holder_proof const& won) override { this->proof = won; }
+    void on_deposed(std::string const&) override { ++this->deposed; }
+    void on_leader(std::optional<leader_row> const& found) override
+    {
+        this->leader = found ? found->name : "";
+    }
+
+    holder_proof proof;
+    int deposed = 0;
+    std::string leader;
+    leadership part;
+};
+
+} // namespace
+
+Test(job_acceptor, what_arrives_during_a_transaction_goes_into_the_next)
+{
+    store_bench bench;
+    job_acceptor acceptor(bench.loop, bench.store, "node");
+    int stored = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        acceptor.accept(make_job("job-" + std::to_string(i)),
+            milliseconds(1000),
+            [&stored](accept_result const& result)
+            { stored += result.outcome == accept_outcome::stored ? 1 : 0; });
+    }
+    bench.pass(milliseconds(100));
+    cr_assert(stored == 10);
+    cr_assert(bench.store.count(tables::jobs) == 10U);
+}
+
+Test(job_acceptor, a_job_that_is_there_already_is_stored_once_and_accepted)
+{
+    store_bench bench;
+    job_acceptor acceptor(bench.loop, bench.store, "node");
+    std::vector<std::int64_t> versions;
+    for (int i = 0; i < 2; ++i)
+    {
+        acceptor.accept(make_job("a"), milliseconds(1000),
+            [&versions](accept_result const& result)
+            {
+                cr_assert(result.outcome == accept_outcome::stored);
+                versions.push_back(result.version);
+            });
+        bench.pass(milliseconds(100));
+    }
+    cr_assert(versions.size() == 2U);
+    // Only the submission that inserted it has something to announce.
+    cr_assert(versions[0] > 0);
+    cr_assert(versions[1] == 0);
+}
+
+Test(job_acceptor, a_refused_submission_is_told_so_at_once)
+{
+    store_bench bench;
+    bench.store.refusing = true;
+    job_acceptor acceptor(bench.loop, bench.store, "node");
+    auto outcome = accept_outcome::unknown;
+    acceptor.accept(make_job("a"), milliseconds(5000),
+        [&outcome](accept_result const& result) { outcome = result.outcome; });
+    cr_assert(outcome == accept_outcome::not_stored);
+    cr_assert(acceptor.is_store_away());
+}
+
+Test(job_acceptor, a_lost_answer_is_never_called_not_stored)
+{
+    store_bench bench;
+    bench.store.lose_answers = 1;
+    job_acceptor acceptor(bench.loop, bench.store, "node");
+    int stored = 0;
+    acceptor.accept(make_job("a"), milliseconds(5000),
+        [&stored](accept_result const& result)
+        { stored += result.outcome == accept_outcome::stored ? 1 : 0; });
+    bench.pass(milliseconds(500));
+    cr_assert(stored == 1);
+    cr_assert(bench.store.count(tables::jobs) == 1U);
+}
+
+Test(job_acceptor, what_stays_in_doubt_until_its_end_is_unknown)
+{
+    store_bench bench;
+    bench.store.away = true;
+    job_acceptor acceptor(bench.loop, bench.store, "node");
+    auto outcome = accept_outcome::stored;
+    acceptor.accept(make_job("a"), milliseconds(800),
+        [&outcome](accept_result const& result) { outcome = result.outcome; });
+    bench.pass(milliseconds(2000));
+    cr_assert(outcome == accept_outcome::unknown);
+}
+
+Test(end_journal, ends_under_load_share_one_transaction)
+{
+    store_bench bench;
+    std::int64_t version = bench.store.set(tables::holder_row(), "h");
+    end_journal journal(bench.loop, bench.store, {1, version}, [] {});
+    int durable = 0;
+    for (std::uint32_t i = 0; i < 50; ++i)
+    {
+        journal.append(make_end(i), [&durable] { ++durable; });
+    }
+    bench.pass(milliseconds(100));
+    cr_assert(durable == 50);
+    cr_assert(bench.store.count(tables::journal) == 1U);
+}
+
+Test(end_journal, a_lost_answer_is_recognised_and_written_once)
+{
+    store_bench bench;
+    std::int64_t version = bench.store.set(tables::holder_row(), "h");
+    end_journal journal(bench.loop, bench.store, {1, version}, [] {});
+    bench.store.lose_answers = 1;
+    int durable = 0;
+    journal.append(make_end(0), [&durable] { ++durable; });
+    bench.pass(milliseconds(1000));
+    cr_assert(durable == 1);
+    cr_assert(bench.store.count(tables::journal) == 1U);
+}
+
+Test(end_journal, a_replaced_scheduler_records_nothing)
+{
+    store_bench bench;
+    std::int64_t version = bench.store.set(tables::holder_row(), "h");
+    bool replaced = false;
+    end_journal journal(bench.loop, bench.store, {1, version},
+        [&replaced] { replaced = true; });
+    bench.store.set(tables::holder_row(), "another");
+    int durable = 0;
+    journal.append(make_end(0), [&durable] { ++durable; });
+    bench.pass(milliseconds(1000));
+    cr_assert(replaced);
+    cr_assert(durable == 0);
+    cr_assert(bench.store.count(tables::journal) == 0U);
+}
+
+Test(record_follower, reads_all_pages_then_follows_and_reads_again_when_lost)
+{
+    store_bench bench;
+    bench.store.page = 3;
+    for (char key = 'a'; key < 'k'; ++key)
+    {
+        bench.store.set({"t", "p", std::string(1, key)}, "v");
+    }
+    std::vector<std::size_t> whole;
+    std::size_t changes = 0;
+    record_follower follower(bench.loop, bench.store, {"t", {}, {}, {}},
+        [&](std::vector<record> const& rows, bool complete)
+        {
+            complete ? whole.push_back(rows.size())
+                     : static_cast<void>(changes += rows.size());
+        });
+    bench.pass(milliseconds(100));
+    cr_assert(whole.size() == 1U);
+    cr_assert(whole[0] == 10U);
+    bench.store.set({"t", "q", "new"}, "v");
+    bench.pass(milliseconds(100));
+    cr_assert(changes == 1U);
+    bench.store.history_lost = true;
+    bench.store.set({"t", "q", "newer"}, "v");
+    bench.pass(milliseconds(100));
+    cr_assert(whole.size() == 2U);
+    cr_assert(whole[1] == 12U);
+}
+
+Test(leadership, one_of_several_instances_is_elected)
+{
+    store_bench bench;
+    candidate a(bench, "a");
+    candidate b(bench, "b");
+    candidate c(bench, "c");
+    bench.pass(milliseconds(2000));
+    int holders = (a.part.is_holder() ? 1 : 0) + (b.part.is_holder() ? 1 : 0) +
+                  (c.part.is_holder() ? 1 : 0);
+    cr_assert(holders == 1);
+}
+
+Test(leadership, a_holder_without_the_store_stops_starting_work_first)
+{
+    store_bench bench;
+    candidate a(bench, "a");
+    bench.pass(milliseconds(1000));
+    cr_assert(a.part.may_start_work());
+    bench.store.away = true;
+    bench.pass(milliseconds(1600));
+    // Others take the row 1,700 ms after its last beat at the earliest.
+    cr_assert_not(a.part.may_start_work());
+}
+
+Test(leadership, the_row_is_taken_when_the_beat_stands_still)
+{
+    store_bench bench;
+    auto a = std::make_unique<candidate>(bench, "a");
+    bench.pass(milliseconds(1000));
+    cr_assert(a->proof.fence == 1U);
+    candidate b(bench, "b");
+    bench.pass(milliseconds(1000));
+    cr_assert_not(b.part.is_holder());
+    a.reset();
+    bench.pass(milliseconds(4000));
+    cr_assert(b.part.is_holder());
+    cr_assert(b.proof.fence == 2U);
+}
+
+Test(leadership, a_holder_that_resigns_is_followed_at_once)
+{
+    store_bench bench;
+    candidate a(bench, "a");
+    bench.pass(milliseconds(1000));
+    candidate b(bench, "b");
+    bench.pass(milliseconds(500));
+    a.part.resign([] {});
+    bench.pass(milliseconds(600));
+    cr_assert(b.part.is_holder());
+    cr_assert_not(a.part.is_holder());
+    cr_assert(a.deposed == 1);
+}
+
+Test(leadership, a_holder_finds_out_that_it_was_replaced)
+{
+    store_bench bench;
+    candidate a(bench, "a");
+    bench.pass(milliseconds(1000));
+    leader_row other{"z", "z.1", "127.0.0.1:2", 9, false};
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, other);
+    bench.store.set(
+        tables::holder_row(), std::string(buffer.data(), buffer.size()));
+    bench.pass(milliseconds(500));
+    cr_assert_not(a.part.is_holder());
+    cr_assert(a.leader == "z");
+}
--- /dev/null
+++ b/tests/unit/dispatcher.tests.cpp
@@ -0,0 +1,419 @@
+/// The active scheduler against workers and a store in memory.
+#include "toucanlever/cell/dispatcher.hpp"
+
+#include "cell/cell_tables.hpp"
+#include "fake_record_store.hpp"
+#include "fake_workers.hpp"
+
+#include "toucanlever/wire/codec.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+constexpr milliseconds second{1000};
+constexpr std::int64_t worker_cpu = 4000;
+
+/// A policy that approves every worker, or says that it is busy.
+class fake_advice final : public placement_advice
+{
+public:
+    void ask(step_id const&, std::vector<std::string> const& asked,
+        callback done) override
+    {
+        ++this->calls;
+        advice_result result;
+        result.answered = !this->busy;
+        result.valid_ms = 2000;
+        for (std::string const& worker : asked)
+        {
+            if (!this->refused.contains(worker))
+            {
+                result.tickets.push_back({worker, "ticket-" + worker});
+            }
+        }
+        this->answer_later(std::move(done), result);
+    }
+
+    std::function<void(callback, advice_result)> answer_later;
+    std::set<std::string> refused;
+    bool busy = false;
+    int calls = 0;
+};
+
+/// A cell of workers and the terms of its active scheduler, one at a time.
+class cell_bench
+{
+public:
+    explicit cell_bench(int count = 4)
+    {
+        this->advice.answer_later =
+            [this](placement_advice::callback done, advice_result const& result)
+        { this->loop.post([done, result] { done(result); }); };
+        for (int i = 0; i < count; ++i)
+        {
+            this->list("w" + std::to_string(i));
+        }
+    }
+
+    void list(std::string const& id)
+    {
+        worker_entry entry;
+        entry.id = id;
+        entry.address = id;
+        entry.service = "s";
+        entry.capacity = {worker_cpu, 1 << 20, 0};
+        this->store.set({"workers-listed", "", id}, pack(entry));
+    }
+
+    /// Another instance becomes the active scheduler. The one before it, if
+    /// any, is kept but hears nothing of it.
+    dispatcher& begin_term()
+    {
+        ++this->fence;
+        std::int64_t version = this->store.set(
+            tables::holder_row(), "holder-" + std::to_string(this->fence));
+        this->broker =
+            std::make_unique<advice_broker>(this->loop, this->advice, "self");
+        dispatcher_parts parts{this->loop, this->store, this->workers,
+            *this->broker, this->queues, "workers-listed",
+            [](std::string const&, std::string const& value)
+            { return std::optional(unpack<worker_entry>(value, "test")); },
+            [this] { return this->may_start; },
+            [] { return time_point::max(); }, milliseconds(60000), false};
+        this->term = std::make_unique<dispatcher>(std::move(parts),
+            holder_proof{this->fence, version},
+            [this](std::string const&) { ++this->replaced; });
+        this->pass(milliseconds(200));
+        return *this->term;
+    }
+
+    void end_term() { this->term.reset(); }
+
+    void pass(milliseconds span)
+    {
+        constexpr milliseconds step{10};
+        for (milliseconds done{0}; done < span; done += step)
+        {
+            this->time.advance(step);
+            this->loop.run_ready();
+        }
+    }
+
+    /// Stores a job and tells the scheduler.
+    void submit(std::string const& id, std::uint32_t tasks,
+        std::function<void(work_record&)> const& change = {})
+    {
+        work_record record;
+        record.id = id;
+        record.queue.service = "s";
+        record.queue.max_attempts = 3;
+        work_step step;
+        step.tasks = tasks;
+        step.need = {1000, 1024, 0};
+        record.steps = {step};
+        if (change)
+        {
+            change(record);
+        }
+        std::int64_t version =
+            this->store.set(tables::job_row("node", id), pack(record));
+        if (this->term)
+        {
+            this->term->accept(record, version);
+        }
+    }
+
+    std::size_t starts_of(task_id const& task) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->workers.all_starts.begin(), this->workers.all_starts.end(),
+            [&task](auto const& start) { return start.second == task; }));
+    }
+
+    manual_clock time;
+    event_loop loop{this->time};
+    fake_record_store store{this->loop};
+    fake_workers workers{this->loop};
+    fake_advice advice;
+    queue_directory queues;
+    bool may_start = true;
+    int replaced = 0;
+    std::uint64_t fence = 0;
+    std::unique_ptr<advice_broker> broker;
+    std::unique_ptr<dispatcher> term;
+};
+
+task_id const first_task{{"a", 0, 0}, 0};
+
+} // namespace
+
+Test(dispatcher, starts_a_job_and_tells_its_end_once_it_is_durable)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 2);
+    bench.pass(second);
+    cr_assert(bench.workers.running() == 2U);
+    cr_assert(bench.term->state_of("a") == work_state::running);
+    bench.store.away = true;
+    bench.workers.end_all(run_end::succeeded);
+    bench.pass(2 * second);
+    // A successor could not know it.
+    cr_assert(bench.term->state_of("a") == work_state::running);
+    bench.store.away = false;
+    bench.pass(2 * second);
+    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+}
+
+Test(dispatcher, never_passes_the_capacity_of_workers)
+{
+    cell_bench bench(2);
+    bench.begin_term();
+    bench.submit("a", 20);
+    bench.pass(second);
+    for (auto const& [id, worker] : bench.workers.workers)
+    {
+        cr_assert(worker.running.size() <= 4U);
+    }
+    cr_assert(bench.workers.running() == 8U);
+}
+
+Test(dispatcher, a_successor_goes_on_with_what_runs_and_repeats_nothing)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 3);
+    bench.pass(second);
+    bench.workers.end("w0", first_task, run_end::succeeded);
+    bench.end_term();
+    bench.begin_term();
+    bench.pass(second);
+    bench.workers.end_all(run_end::succeeded);
+    bench.pass(second);
+    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+    cr_assert(bench.workers.all_starts.size() == 3U);
+}
+
+Test(dispatcher, an_end_known_only_to_an_unreachable_worker_is_waited_for)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    bench.pass(second);
+    std::string place = bench.workers.all_starts.front().first;
+    bench.end_term();
+    bench.workers.end(place, first_task, run_end::succeeded);
+    bench.workers.workers[place].silent = true;
+    bench.begin_term();
+    // Less than the lease that the earlier scheduler may have granted.
+    bench.pass(6 * second);
+    cr_assert(bench.starts_of(first_task) == 1U);
+    bench.workers.workers[place].silent = false;
+    bench.pass(second);
+    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+    cr_assert(bench.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, an_unreachable_and_unlisted_worker_is_waited_for_too)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    bench.pass(second);
+    std::string place = bench.workers.all_starts.front().first;
+    bench.end_term();
+    bench.workers.workers[place].silent = true;
+    bench.store.commit({{}, {}, {{"workers-listed", "", place}}},
+        milliseconds(0), [](change_result const&) {});
+    bench.begin_term();
+    bench.pass(6 * second);
+    cr_assert(bench.starts_of(first_task) == 1U);
+    bench.pass(4 * second);
+    cr_assert(bench.starts_of(first_task) == 2U);
+}
+
+Test(dispatcher, new_jobs_do_not_wait_for_unreachable_workers)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.end_term();
+    bench.workers.workers["w0"].silent = true;
+    bench.begin_term();
+    bench.submit("new", 1);
+    bench.pass(second);
+    cr_assert(bench.workers.running() == 1U);
+}
+
+Test(dispatcher, a_job_of_old_that_is_stored_again_is_no_new_job)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    bench.pass(second);
+    std::string place = bench.workers.all_starts.front().first;
+    bench.end_term();
+    bench.workers.workers[place].silent = true;
+    bench.begin_term();
+    work_record again;
+    again.id = "a";
+    again.queue.service = "s";
+    again.steps.resize(1);
+    bench.term->accept(again, bench.store.version + 100);
+    bench.pass(2 * second);
+    cr_assert(bench.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, a_start_without_an_answer_is_not_started_elsewhere)
+{
+    cell_bench bench;
+    bench.begin_term();
+    for (int i = 0; i < 4; ++i)
+    {
+        bench.workers.workers["w" + std::to_string(i)].lose_answers = 5;
+    }
+    bench.submit("a", 1);
+    bench.pass(milliseconds(300));
+    // It runs on at most one worker at any time, whatever was answered.
+    cr_assert(bench.workers.running() <= 1U);
+    bench.pass(second);
+    cr_assert(bench.workers.running() <= 1U);
+}
+
+Test(dispatcher, tasks_of_a_lost_worker_run_elsewhere_after_its_lease)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    bench.pass(second);
+    std::string place = bench.workers.all_starts.front().first;
+    bench.workers.workers[place].silent = true;
+    bench.pass(4 * second);
+    cr_assert(bench.starts_of(first_task) == 1U);
+    bench.pass(2 * second);
+    cr_assert(bench.starts_of(first_task) == 2U);
+    cr_assert(bench.workers.all_starts.back().first != place);
+}
+
+Test(dispatcher, a_job_fails_after_its_attempts_and_no_later)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    for (int i = 0; i < 6; ++i)
+    {
+        bench.pass(second);
+        bench.workers.end_all(run_end::failed);
+    }
+    bench.pass(second);
+    cr_assert(bench.workers.all_starts.size() == 3U);
+    cr_assert(bench.term->state_of("a") == work_state::failed);
+}
+
+Test(dispatcher, a_gang_whose_member_ends_is_stopped_and_started_anew)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 3, [](work_record& job) { job.steps[0].gang = true; });
+    bench.pass(second);
+    cr_assert(bench.workers.running() == 3U);
+    std::string place = bench.workers.all_starts.front().first;
+    bench.workers.end(
+        place, bench.workers.all_starts.front().second, run_end::failed);
+    bench.pass(2 * second);
+    cr_assert(bench.workers.running() == 3U);
+    cr_assert(bench.workers.all_starts.size() == 6U);
+}
+
+Test(dispatcher, a_cancelled_job_is_stopped_also_when_that_comes_first)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 2);
+    bench.pass(second);
+    bench.term->cancel("a");
+    bench.term->cancel("b");
+    bench.submit("b", 2);
+    bench.pass(second);
+    cr_assert(bench.workers.running() == 0U);
+    cr_assert(bench.term->state_of("a") == work_state::cancelled);
+    cr_assert(bench.term->state_of("b") == work_state::cancelled);
+}
+
+Test(dispatcher, a_replaced_scheduler_is_told_by_any_worker)
+{
+    cell_bench bench;
+    bench.begin_term();
+    for (int i = 0; i < 4; ++i)
+    {
+        bench.workers.workers["w" + std::to_string(i)].fence = 9;
+    }
+    bench.pass(second);
+    cr_assert(bench.replaced > 0);
+}
+
+Test(dispatcher, nothing_is_started_without_permission)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.may_start = false;
+    bench.submit("a", 1);
+    bench.pass(second);
+    cr_assert(bench.workers.all_starts.empty());
+    bench.may_start = true;
+    bench.pass(second);
+    cr_assert(bench.workers.all_starts.size() == 1U);
+}
+
+Test(dispatcher, starts_only_where_the_policy_approves_and_with_a_ticket)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.advice.refused = {"w0", "w1", "w2"};
+    bench.submit("a", 4,
+        [](work_record& job) {
+            job.queue.advice = {true, 5000, 100};
+        });
+    bench.pass(second);
+    cr_assert(bench.workers.workers["w3"].starts.size() == 4U);
+    cr_assert(bench.workers.workers["w3"].starts[0].ticket == "ticket-w3");
+    cr_assert(bench.workers.all_starts.size() == 4U);
+}
+
+Test(dispatcher, a_busy_policy_is_asked_again_and_not_flooded)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.advice.busy = true;
+    for (int i = 0; i < 50; ++i)
+    {
+        bench.submit("job-" + std::to_string(i), 1,
+            [](work_record& job) {
+                job.queue.advice = {true, 5000, 100};
+            });
+    }
+    bench.pass(2 * second);
+    cr_assert(bench.advice.calls < 60);
+    bench.advice.busy = false;
+    bench.pass(3 * second);
+    cr_assert(bench.workers.running() > 0U);
+}
+
+Test(dispatcher, a_worker_that_began_anew_has_lost_its_tasks)
+{
+    cell_bench bench;
+    bench.begin_term();
+    bench.submit("a", 1);
+    bench.pass(second);
+    std::string place = bench.workers.all_starts.front().first;
+    fake_cell_worker& worker = bench.workers.workers[place];
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    bench.pass(second);
+    cr_assert(bench.starts_of(first_task) == 2U);
+    cr_assert(bench.workers.running() == 1U);
+}
--- /dev/null
+++ b/tests/unit/fake_record_store.hpp
@@ -0,0 +1,244 @@
+/// A record store in memory that answers at once, and can be away, lose
+/// answers or refuse.
+#pragma once
+
+#include "toucanlever/cell/record_store.hpp"
+#include "toucanlever/core/event_loop.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace toucanlever
+{
+
+class fake_record_store final : public record_store
+{
+public:
+    explicit fake_record_store(event_loop& loop)
+        : loop(loop)
+    {
+    }
+
+    void commit(record_change const& change, milliseconds,
+        change_callback done) override
+    {
+        ++this->attempts;
+        if (this->away)
+        {
+            done({});
+            return;
+        }
+        if (this->refusing)
+        {
+            done({change_outcome::not_done, 0, {}});
+            return;
+        }
+        change_result result = this->apply(change);
+        if (this->lose_answers > 0)
+        {
+            --this->lose_answers;
+            result = {};
+        }
+        done(result);
+        this->wake();
+    }
+
+    void read(std::string const& table, std::string const& part,
+        std::string const& from, std::string const& until,
+        read_callback done) override
+    {
+        if (this->away || this->refusing)
+        {
+            done({});
+            return;
+        }
+        read_result result{read_outcome::answered, {}, this->version, false};
+        for (auto const& [id, row] : this->rows)
+        {
+            bool wanted = row.at.table == table && row.at.part == part &&
+                          row.at.key >= from &&
+                          (until.empty() || row.at.key < until);
+            if (wanted && result.rows.size() == this->page)
+            {
+                result.more = true;
+                break;
+            }
+            if (wanted)
+            {
+                result.rows.push_back(row);
+            }
+        }
+        done(result);
+    }
+
+    void parts(std::string const& table, parts_callback done) override
+    {
+        if (this->away || this->refusing)
+        {
+            done(std::nullopt);
+            return;
+        }
+        std::set<std::string> found;
+        for (auto const& [id, row] : this->rows)
+        {
+            if (row.at.table == table)
+            {
+                found.insert(row.at.part);
+            }
+        }
+        done(std::vector<std::string>(found.begin(), found.end()));
+    }
+
+    void changes(std::string const& table, std::int64_t after,
+        milliseconds wait, read_callback done) override
+    {
+        if (this->away || this->refusing)
+        {
+            done({});
+            return;
+        }
+        if (this->history_lost)
+        {
+            this->history_lost = false;
+            done({read_outcome::history_lost, {}, 0, false});
+            return;
+        }
+        int call = ++this->calls;
+        this->waiting.push_back({call, table, after, std::move(done)});
+        this->loop.after(wait, [this, call] { this->expire(call); });
+        this->wake();
+    }
+
+    /// Sets a row as an outsider does.
+    std::int64_t set(record_key const& at, std::string const& value)
+    {
+        this->apply({{}, {{at, value}}, {}});
+        this->wake();
+        return this->version;
+    }
+
+    record const* find(record_key const& at) const
+    {
+        auto found = this->rows.find({at.table, at.part, at.key});
+        return found == this->rows.end() ? nullptr : &found->second;
+    }
+
+    std::size_t count(std::string const& table) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->rows.begin(), this->rows.end(),
+                [&table](auto const& entry)
+                { return entry.second.at.table == table; }));
+    }
+
+    bool away = false;
+    bool refusing = false;
+    bool history_lost = false;
+    int lose_answers = 0;
+    int attempts = 0;
+    std::size_t page = 500;
+    std::int64_t version = 0;
+
+private:
+    using row_id = std::tuple<std::string, std::string, std::string>;
+
+    struct waiting_call
+    {
+        int id = 0;
+        std::string table;
+        std::int64_t after = 0;
+        read_callback done;
+    };
+
+    change_result apply(record_change const& change)
+    {
+        change_result result;
+        bool holds = true;
+        for (record_check const& check : change.checks)
+        {
+            record const* row = this->find(check.at);
+            std::int64_t present = row == nullptr ? 0 : row->version;
+            holds = holds && present == check.version;
+            result.current.push_back(
+                row == nullptr ? record{check.at, {}, 0, false} : *row);
+        }
+        result.version = this->version;
+        result.outcome =
+            holds ? change_outcome::committed : change_outcome::conflict;
+        if (!holds)
+        {
+            return result;
+        }
+        result.version = ++this->version;
+        for (record_write const& write : change.writes)
+        {
+            this->rows[{write.at.table, write.at.part, write.at.key}] = {
+                write.at, write.value, this->version, false};
+        }
+        for (record_key const& at : change.removals)
+        {
+            if (this->rows.erase({at.table, at.part, at.key}) > 0)
+            {
+                this->removed.push_back({at, {}, this->version, true});
+            }
+        }
+        return result;
+    }
+
+    /// A call has waited in vain.
+    void expire(int id)
+    {
+        auto found = std::find_if(this->waiting.begin(), this->waiting.end(),
+            [id](waiting_call const& call) { return call.id == id; });
+        if (found != this->waiting.end())
+        {
+            read_callback done = std::move(found->done);
+            this->waiting.erase(found);
+            done(this->away ? read_result{}
+                            : read_result{read_outcome::answered, {},
+                                  this->version, false});
+        }
+    }
+
+    /// Answers the calls that wait for changes that are there now.
+    void wake()
+    {
+        std::vector<waiting_call> calls = std::move(this->waiting);
+        this->waiting.clear();
+        for (waiting_call& call : calls)
+        {
+            read_result result{
+                read_outcome::answered, {}, this->version, false};
+            for (auto const& [id, row] : this->rows)
+            {
+                if (row.at.table == call.table && row.version > call.after)
+                {
+                    result.rows.push_back(row);
+                }
+            }
+            for (record const& row : this->removed)
+            {
+                if (row.at.table == call.table && row.version > call.after)
+                {
+                    result.rows.push_back(row);
+                }
+            }
+            if (result.rows.empty())
+            {
+                this->waiting.push_back(std::move(call));
+                continue;
+            }
+            call.done(result);
+        }
+    }
+
+    event_loop& loop;
+    int calls = 0;
+    std::map<row_id, record> rows;
+    std::vector<record> removed;
+    std::vector<waiting_call> waiting;
+};
+
+} // namespace toucanlever
--- /dev/null
+++ b/tests/unit/strekbod.tests.cpp
@@ -0,0 +1,180 @@
+/// The adapter: what the platform says, in the project's terms.
+#include "base64.hpp"
+#include "decode.hpp"
+#include "platform_settings.hpp"
+
+#include "toucanlever/core/error.hpp"
+#include "toucanlever/core/settings_file.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace toucanlever;
+using namespace toucanlever::strekbod;
+
+namespace
+{
+
+constexpr char job_body[] = R"({"Specification":"text","Steps":[
+    {"Count":4,"Cpu":500,"MemoryRequestMb":256,"DataRack":"r1-3"},
+    {"Count":2,"Cpu":2000,"After":[0],"GangScheduled":true,"SameRack":true,
+     "Checkpointing":true,"AntiAffinity":1,"Requirements":"a"}]})";
+
+std::string problem_of(std::string const& body)
+{
+    try
+    {
+        decode_job(body);
+    }
+    catch (error const& problem)
+    {
+        return problem.what();
+    }
+    return "accepted";
+}
+
+std::string settings_problem(std::string const& text)
+{
+    char name[] = "/tmp/settings-XXXXXX";
+    int file = mkstemp(name);
+    cr_assert(file >= 0);
+    std::ofstream(name) << text;
+    std::string result = "accepted";
+    try
+    {
+        load_settings(name);
+    }
+    catch (settings_error const& problem)
+    {
+        result = problem.what();
+    }
+    std::remove(name);
+    close(file);
+    return result;
+}
+
+} // namespace
+
+Test(strekbod, a_job_is_decoded_with_its_steps)
+{
+    work_record job = decode_job(job_body);
+    cr_assert(job.steps.size() == 2U);
+    cr_assert(job.steps[0].tasks == 4U);
+    cr_assert(job.steps[0].need.cpu_millis == 500);
+    cr_assert(job.steps[0].need.memory_bytes == 256 * 1024 * 1024);
+    cr_assert(job.steps[0].data_rack == "r1-3");
+    cr_assert(job.steps[1].gang);
+    cr_assert(job.steps[1].prefers_one_rack);
+    cr_assert(job.steps[1].max_per_worker == 1U);
+    cr_assert(job.steps[1].after.at(0) == 0U);
+    cr_assert(job.payload == "text");
+}
+
+Test(strekbod, a_malformed_job_is_refused_with_the_field)
+{
+    cr_assert(problem_of("{") != "accepted");
+    cr_assert(problem_of("[]") != "accepted");
+    cr_assert(problem_of(R"({"Steps":[]})").starts_with("Steps"));
+    cr_assert(problem_of(R"({"Steps":[{"Count":0}]})").starts_with("Count"));
+    // A step cannot wait for itself or for a later one.
+    cr_assert(problem_of(R"({"Steps":[{"Count":1,"After":[0]}]})")
+                  .starts_with("After"));
+}
+
+Test(strekbod, entries_of_other_writers_name_no_worker)
+{
+    for (char const* body : {"", "{", "[]", "7", R"({"State":"ready"})",
+             R"({"Service":"s","Address":"a","State":"gone","Capacity":{}})",
+             R"({"Service":7,"Address":"a","State":"ready","Capacity":{}})"})
+    {
+        cr_assert_not(decode_worker("id", body).has_value());
+    }
+    auto worker = decode_worker("id",
+        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"z","State":"draining",
+            "Capacity":{"Cpu":16000,"MemoryRequestMb":2},
+            "Labels":["a","r1-3"],"born":77})");
+    cr_assert(worker.has_value());
+    cr_assert(worker->leaving);
+    cr_assert(worker->rack == "r1-3");
+    cr_assert(worker->started_ms == 77);
+}
+
+Test(strekbod, a_configuration_gives_routes_and_terms)
+{
+    auto configuration = decode_configuration(
+        R"({"Version":7,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/",
+            "Priority":1,"Service":"s","MaxAttempts":4,"SlackFactor":2.2,
+            "TargetLatencyMs":1000,
+            "Advice":{"DecisionMs":390.0,"PerWorkerMs":5.5}}]})");
+    cr_assert(configuration.has_value());
+    queue_terms const& terms = configuration->routes.at(0).terms;
+    cr_assert(terms.slack_permille == 2200);
+    cr_assert(terms.advice.required);
+    cr_assert(terms.advice.decision_us == 390000);
+    cr_assert(terms.advice.per_worker_us == 5500);
+    cr_assert_not(decode_configuration("{}").has_value());
+    cr_assert_not(decode_configuration("nonsense").has_value());
+}
+
+Test(strekbod, task_names_go_both_ways)
+{
+    task_id const task{{"5c0e7a21d94b36f8", 2, 1}, 17};
+    cr_assert(to_string(task) == "5c0e7a21d94b36f8.2.1.17");
+    cr_assert(decode_task(to_string(task)) == task);
+    for (char const* name : {"", "a", "a.1", "a.1.2", "a.1.2.x", "a.1.2.3.4"})
+    {
+        cr_assert_not(decode_task(name).has_value());
+    }
+}
+
+Test(strekbod, a_watch_answer_is_decoded_and_bad_rows_are_left_out)
+{
+    watch_result result = decode_watch(
+        R"({"ClockMs":482113,"born":5,"Running":[["a.0.1.17",2,"cp",41,3],[1]],
+            "Finished":[[58,"a.0.1.9",1,"done",""],
+                        [59,"a.0.1.9",1,"unheard-of",""]]})");
+    cr_assert(result.outcome == order_outcome::done);
+    cr_assert(result.clock_ms == 482113);
+    cr_assert(result.running.size() == 1U);
+    cr_assert(result.ended.size() == 1U);
+    cr_assert(result.ended[0].how == run_end::succeeded);
+    cr_assert(decode_watch("garbage").outcome == order_outcome::in_doubt);
+}
+
+Test(strekbod, refusals_say_whether_anything_was_done)
+{
+    cr_assert(decode_refusal(409, R"({"Reason":"fence"})") ==
+              order_outcome::refused_fenced);
+    cr_assert(decode_refusal(409, R"({"Reason":"ticket"})") ==
+              order_outcome::refused_ticket);
+    cr_assert(decode_refusal(421, "") == order_outcome::other_incarnation);
+    cr_assert(decode_refusal(503, "") == order_outcome::not_done);
+}
+
+Test(strekbod, base64_goes_both_ways)
+{
+    for (std::string const& bytes : {std::string(), std::string("a"),
+             std::string("ab"), std::string("abc"), std::string("\0\xff\n", 3)})
+    {
+        cr_assert(decode_base64(encode_base64(bytes)) == bytes);
+    }
+    cr_assert_not(decode_base64("****").has_value());
+}
+
+Test(strekbod, settings_are_checked_with_file_line_and_key)
+{
+    std::string const good = "name: n\nfailure_domain: z\n"
+                             "caller_address: 127.0.0.1:1\n"
+                             "readiness_address: 127.0.0.1:2\n"
+                             "peer_address: 127.0.0.1:3\n"
+                             "store_address: 127.0.0.1:4\n";
+    cr_assert(settings_problem(good) == "accepted");
+    std::string bad = settings_problem(good + "store_adress: 127.0.0.1:4\n");
+    cr_assert(bad.find(":7:") != std::string::npos);
+    cr_assert(bad.find("store_adress") != std::string::npos);
+    cr_assert(settings_problem("name: n\n").find("failure_domain") !=
+              std::string::npos);
+}
