libcurl by epoll: a wake-up costs the same whatever waits

Cause: the active scheduler holds a long poll to each worker, and each wake-up of the HTTP client looked at all of them (curl_multi_poll and curl_multi_perform).

Change: curl_multi_socket_action over an epoll set; handles are used again. start-sent says the job's priority.

--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -818,6 +818,7 @@
             .with("task", to_string(id))
             .with("run", task.run)
             .with("worker", worker)
+            .with("priority", job.record.queue.priority)
             .with("waited_ms", waited.count())
             .with("free_cpu", this->pool.find(worker)->free.cpu_millis);
         metrics().observe("step_wait_ms", waited.count());
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,13 +2,20 @@
 
 #include "toucanlever/core/metrics.hpp"
 
+#include <array>
 #include <atomic>
+#include <chrono>
 #include <curl/curl.h>
 #include <deque>
-#include <map>
 #include <mutex>
-#include <strings.h>
+#include <set>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <thread>
+#include <unistd.h>
+#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace toucanlever
 {
@@ -70,8 +77,7 @@
 void prepare(transfer& current)
 {
     http_call const& call = current.call;
-    CURL* handle = curl_easy_init();
-    current.handle = handle;
+    CURL* handle = current.handle;
     curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
@@ -148,6 +154,97 @@
         not_sent ? http_delivery::not_sent : http_delivery::in_doubt;
 }
 
+/// The sockets that libcurl waits for, in an epoll set: what a wake-up costs
+/// does not grow with the calls that merely wait.
+class socket_set
+{
+public:
+    socket_set()
+        : epoll(epoll_create1(EPOLL_CLOEXEC))
+        , wakeup(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        this->change(this->wakeup, EPOLL_CTL_ADD, EPOLLIN);
+    }
+
+    ~socket_set()
+    {
+        ::close(this->wakeup);
+        ::close(this->epoll);
+    }
+
+    socket_set(socket_set const&) = delete;
+    socket_set& operator=(socket_set const&) = delete;
+
+    /// Safe from any thread.
+    void wake() const
+    {
+        std::uint64_t const one = 1;
+        // A full counter has woken the loop already.
+        static_cast<void>(!::write(this->wakeup, &one, sizeof one));
+    }
+
+    /// libcurl's wish for a socket.
+    void watch(curl_socket_t socket, int what)
+    {
+        if (what == CURL_POLL_REMOVE)
+        {
+            // libcurl may have closed it, which removed it from the set.
+            this->known.erase(socket);
+            this->change(socket, EPOLL_CTL_DEL, 0);
+            return;
+        }
+        std::uint32_t events = 0;
+        events |= (what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
+        events |= (what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
+        bool added = this->known.insert(socket).second;
+        if (this->change(
+                socket, added ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, events) != 0)
+        {
+            // Closed and opened again under the same number.
+            this->change(socket, added ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, events);
+        }
+    }
+
+    /// Waits and hands over what is ready; the wake-up is taken back.
+    template <typename OnReady>
+    void wait(int timeout_ms, OnReady on_ready)
+    {
+        std::array<epoll_event, 64> events{};
+        int count = epoll_wait(this->epoll, events.data(),
+            static_cast<int>(events.size()), timeout_ms);
+        for (int i = 0; i < count; ++i)
+        {
+            epoll_event const& event = events.at(static_cast<std::size_t>(i));
+            if (event.data.fd == this->wakeup)
+            {
+                std::uint64_t value = 0;
+                static_cast<void>(!::read(this->wakeup, &value, sizeof value));
+                continue;
+            }
+            int flags = 0;
+            flags |= (event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0;
+            flags |= (event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0;
+            flags |= (event.events & (EPOLLERR | EPOLLHUP)) != 0
+                         ? CURL_CSELECT_ERR
+                         : 0;
+            on_ready(event.data.fd, flags);
+        }
+    }
+
+private:
+    int change(int socket, int operation, std::uint32_t events) const
+    {
+        epoll_event event{};
+        event.events = events;
+        event.data.fd = socket;
+        return epoll_ctl(this->epoll, operation, socket, &event);
+    }
+
+    int epoll;
+    int wakeup;
+    std::set<curl_socket_t> known;
+};
+
 } // namespace
 
 class http_client::impl
@@ -162,13 +259,18 @@
         this->multi = curl_multi_init();
         curl_multi_setopt(
             this->multi, CURLMOPT_MAXCONNECTS, max_total_connections);
+        curl_multi_setopt(
+            this->multi, CURLMOPT_SOCKETFUNCTION, &impl::on_socket);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &impl::on_timer);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
         this->thread = std::thread([this] { this->run(); });
     }
 
     ~impl()
     {
         this->stopping = true;
-        curl_multi_wakeup(this->multi);
+        this->sockets.wake();
         this->thread.join();
         for (auto& entry : this->active)
         {
@@ -176,6 +278,10 @@
         }
         this->active.clear();
         curl_multi_cleanup(this->multi);
+        for (CURL* handle : this->spare)
+        {
+            curl_easy_cleanup(handle);
+        }
     }
 
     void send(http_call call, callback done)
@@ -183,23 +289,75 @@
         auto current = std::make_unique<transfer>();
         current->call = std::move(call);
         current->done = std::move(done);
+        bool first = false;
         {
             std::lock_guard lock(this->mutex);
+            first = this->queued.empty();
             this->queued.push_back(std::move(current));
         }
-        curl_multi_wakeup(this->multi);
+        if (first)
+        {
+            this->sockets.wake();
+        }
     }
 
 private:
+    static int on_socket(
+        CURL*, curl_socket_t socket, int what, void* self, void*)
+    {
+        static_cast<impl*>(self)->sockets.watch(socket, what);
+        return 0;
+    }
+
+    static int on_timer(CURLM*, long timeout_ms, void* self)
+    {
+        static_cast<impl*>(self)->arm(timeout_ms);
+        return 0;
+    }
+
+    void arm(long timeout_ms)
+    {
+        this->due = timeout_ms < 0
+                        ? std::chrono::steady_clock::time_point::max()
+                        : std::chrono::steady_clock::now() +
+                              std::chrono::milliseconds(timeout_ms);
+    }
+
+    /// Until libcurl's timer, rounded up, and not for ever.
+    int wait_ms() const
+    {
+        auto now = std::chrono::steady_clock::now();
+        if (this->due <= now)
+        {
+            return 0;
+        }
+        if (this->due - now > std::chrono::milliseconds(poll_ms))
+        {
+            return poll_ms;
+        }
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->due - now);
+        return static_cast<int>(left.count()) + 1;
+    }
+
     void run()
     {
+        int running = 0;
         while (!this->stopping)
         {
             this->start_queued();
-            int running = 0;
-            curl_multi_perform(this->multi, &running);
+            this->sockets.wait(this->wait_ms(),
+                [this, &running](curl_socket_t socket, int flags) {
+                    curl_multi_socket_action(
+                        this->multi, socket, flags, &running);
+                });
+            if (this->due <= std::chrono::steady_clock::now())
+            {
+                this->due = std::chrono::steady_clock::time_point::max();
+                curl_multi_socket_action(
+                    this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+            }
             this->collect();
-            curl_multi_poll(this->multi, nullptr, 0, poll_ms, nullptr);
         }
     }
 
@@ -212,13 +370,31 @@
         }
         for (auto& next : batch)
         {
+            next->handle = this->take_handle();
             prepare(*next);
             CURL* handle = next->handle;
-            curl_multi_add_handle(this->multi, handle);
             this->active.emplace(handle, std::move(next));
+            curl_multi_add_handle(this->multi, handle);
         }
     }
 
+    CURL* take_handle()
+    {
+        if (this->spare.empty())
+        {
+            return curl_easy_init();
+        }
+        CURL* handle = this->spare.back();
+        this->spare.pop_back();
+        return handle;
+    }
+
+    void give_handle(CURL* handle)
+    {
+        curl_easy_reset(handle);
+        this->spare.push_back(handle);
+    }
+
     void collect()
     {
         int left = 0;
@@ -234,17 +410,23 @@
             this->active.erase(found);
             curl_multi_remove_handle(this->multi, ended->handle);
             conclude(*ended, code);
+            this->give_handle(std::exchange(ended->handle, nullptr));
             this->loop.post([ended] { ended->done(std::move(ended->result)); });
         }
     }
 
     event_loop& loop;
     CURLM* multi = nullptr;
+    socket_set sockets;
+    std::chrono::steady_clock::time_point due =
+        std::chrono::steady_clock::time_point::max();
     std::atomic<bool> stopping = false;
     std::mutex mutex;
     std::deque<std::unique_ptr<transfer>> queued;
     // Invariant: exactly the handles that libcurl's multi handle holds.
-    std::map<CURL*, std::unique_ptr<transfer>> active;
+    std::unordered_map<CURL*, std::unique_ptr<transfer>> active;
+    // Handles between two calls.
+    std::vector<CURL*> spare;
     std::thread thread;
 };
 
