--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -4,6 +4,7 @@
 
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
+#include <algorithm>
 #include <array>
 #include <curl/curl.h>
 #include <set>
@@ -328,7 +329,9 @@
             }
             return;
         }
-        this->timer = this->loop.after(milliseconds(timeout_ms),
+        // libcurl's figure is cut to whole milliseconds; before its time a
+        // look finds nothing due.
+        this->timer = this->loop.after(milliseconds(timeout_ms + 1),
             [this]
             {
                 this->timer = 0;
@@ -340,6 +343,14 @@
     {
         int running = 0;
         curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+        // libcurl tells of its timer only when that changes, also after a
+        // look that came too early.
+        long left_ms = -1;
+        curl_multi_timeout(this->multi, &left_ms);
+        if (left_ms >= 0 && this->timer == 0 && !this->look_posted)
+        {
+            this->arm(std::max(left_ms, 1L));
+        }
         this->collect();
     }
 
