A lost scheduler is followed sooner; the store forgets what nobody asks for

Rows of ended jobs stayed in the store for ever. A submission in doubt was answered after 2.9 s of the caller's 3.

The list of workers is read four times a second at the most.

--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -78,6 +78,10 @@
     void on_elected(holder_proof const& proof) override;
     void on_deposed(std::string const& reason) override;
     void on_leader(std::optional<leader_row> const& leader) override;
+    bool is_leader_unreachable() const override
+    {
+        return !this->leader || !this->leader->connected();
+    }
     void on_request(frame const& request, std::string const& peer,
         rpc_responder respond) override;
     void answer_advice(advice_request const& request, rpc_responder respond);
--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "toucanlever/cell/end_journal.hpp"
 #include "toucanlever/cell/queue_directory.hpp"
 #include "toucanlever/cell/record_follower.hpp"
+#include "toucanlever/cell/row_cleaner.hpp"
 #include "toucanlever/cell/step_placement.hpp"
 #include "toucanlever/cell/work_board.hpp"
 #include "toucanlever/cell/worker_lease.hpp"
@@ -40,6 +41,8 @@
         decode_worker;
     /// False while starts are forbidden to this holder.
     std::function<bool()> may_start_work;
+    /// How long a holder that lost the store may go on starting work.
+    milliseconds permission{0};
     /// No lease may reach beyond it.
     std::function<time_point()> lease_limit;
     milliseconds keep_ended{120000};
@@ -150,9 +153,11 @@
     dispatcher_parts parts;
     holder_proof proof;
     std::function<void(std::string const&)> on_replaced;
+    time_point began;
     work_board board;
     worker_pool pool;
     end_journal journal;
+    row_cleaner cleaner;
     std::map<std::string, tracked_worker> workers;
     std::unique_ptr<record_follower> job_follower;
     std::unique_ptr<record_follower> worker_follower;
--- a/include/toucanlever/cell/end_journal.hpp
+++ b/include/toucanlever/cell/end_journal.hpp
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace toucanlever
@@ -34,8 +36,12 @@
 class end_journal
 {
 public:
+    /// Told of each row that was written and the jobs that it speaks of.
+    using row_listener = std::function<void(
+        std::string const& key, std::set<std::string> const& jobs)>;
+
     end_journal(event_loop& loop, record_store& store, holder_proof proof,
-        std::function<void()> on_replaced);
+        std::function<void()> on_replaced, row_listener on_row);
     ~end_journal();
 
     /// `done` is called once the entry is durable.
@@ -68,6 +74,7 @@
     record_store& store;
     holder_proof proof;
     std::function<void()> on_replaced;
+    row_listener on_row;
     std::vector<item> open;
     // In the transaction that is under way or in doubt.
     std::vector<item> sent;
--- a/include/toucanlever/cell/job_acceptor.hpp
+++ b/include/toucanlever/cell/job_acceptor.hpp
@@ -63,6 +63,7 @@
     };
 
     void flush();
+    milliseconds time_left() const;
     void take(change_result const& result);
     void settle(std::vector<submission> sent, change_result const& result);
     void refuse_unsent();
--- a/include/toucanlever/cell/leadership.hpp
+++ b/include/toucanlever/cell/leadership.hpp
@@ -40,6 +40,8 @@
     virtual void on_deposed(std::string const& reason) = 0;
     /// Another instance is the holder, or nobody known.
     virtual void on_leader(std::optional<leader_row> const& leader) = 0;
+    /// True when this instance cannot reach the holder directly either.
+    virtual bool is_leader_unreachable() const = 0;
 };
 
 /// One instance's part in the election.
@@ -53,8 +55,13 @@
 
     bool is_holder() const { return this->held.has_value(); }
 
-    /// The holder's own permission to start work: it ends before others may
-    /// take the row, so that two holders never start work at one time.
+    /// How long after its last confirmed beat was sent a holder may start
+    /// work.
+    static constexpr milliseconds permission{1300};
+
+    /// The holder's own permission to start work. A successor starts what its
+    /// predecessor may have heard of no sooner than that is over, or every
+    /// worker has obeyed the successor.
     bool may_start_work() const;
 
     /// A successor counts leases as over from this moment on.
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -56,6 +56,7 @@
         this->parts.orders, *this->broker, this->parts.queues,
         this->parts.worker_table, this->parts.decode_worker,
         [this] { return this->election->may_start_work(); },
+        leadership::permission,
         [this] { return this->election->lease_limit(); },
         this->settings.keep_ended, this->settings.log_decisions};
     this->scheduler = std::make_unique<dispatcher>(std::move(scheduling), proof,
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -41,8 +41,13 @@
     : parts(std::move(parts))
     , proof(proof)
     , on_replaced(std::move(on_replaced))
-    , journal(this->parts.loop, this->parts.store, proof,
-          [this] { this->on_replaced("the journal refused a record"); })
+    , began(this->parts.loop.now())
+    , journal(
+          this->parts.loop, this->parts.store, proof,
+          [this] { this->on_replaced("the journal refused a record"); },
+          [this](std::string const& key, std::set<std::string> const& jobs)
+          { this->cleaner.note_journal_row(key, jobs); })
+    , cleaner(this->parts.loop, this->parts.store)
 {
     event_loop& loop = this->parts.loop;
     record_store& store = this->parts.store;
@@ -53,7 +58,7 @@
         [this](std::vector<record> const& rows, bool)
         { this->on_job_rows(rows); });
     follow_plan list{
-        this->parts.worker_table, {""}, milliseconds(1000), milliseconds(20)};
+        this->parts.worker_table, {""}, milliseconds(1000), milliseconds(250)};
     this->worker_follower = std::make_unique<record_follower>(loop, store, list,
         [this](std::vector<record> const& rows, bool whole)
         { this->on_worker_rows(rows, whole); });
@@ -94,6 +99,7 @@
             {
                 this->accept(unpack<work_record>(row.value, "record-store"),
                     row.version);
+                this->cleaner.note_job_row(key, row.at);
             }
             catch (error const& problem)
             {
@@ -108,8 +114,10 @@
         std::string const& key = row.at.key;
         if (!row.removed && key.ends_with(tables::cancel_suffix))
         {
-            this->cancel(
-                key.substr(0, key.size() - tables::cancel_suffix.size()));
+            std::string job =
+                key.substr(0, key.size() - tables::cancel_suffix.size());
+            this->cleaner.note_cancel_row(job, row.at);
+            this->cancel(job);
         }
     }
     this->jobs_read = true;
@@ -190,10 +198,13 @@
     time_point now = this->parts.loop.now();
     for (record const& row : *this->journal_rows)
     {
+        std::set<std::string> jobs;
         for (end_record const& entry : end_journal::decode(row.value))
         {
             this->board.ended(entry.task, entry.run, entry.how, now);
+            jobs.insert(entry.task.step.job);
         }
+        this->cleaner.note_journal_row(row.at.key, jobs);
     }
     this->journal_rows->clear();
     this->roster_rows->clear();
@@ -398,7 +409,14 @@
 
 bool dispatcher::may_start(board_job const& job) const
 {
-    return this->unreconciled.empty() || job.version > this->proof.row_version;
+    if (this->unreconciled.empty())
+    {
+        return true;
+    }
+    // Until its permission is over, a predecessor that does not know of its
+    // end may start jobs that came after it, on workers that only it reaches.
+    return job.version > this->proof.row_version &&
+           this->parts.loop.now() >= this->began + this->parts.permission;
 }
 
 void dispatcher::plan()
@@ -1340,7 +1358,7 @@
     for (std::string const& job :
         this->board.forget_ended(now - this->parts.keep_ended))
     {
-        log_line("job-forgotten").with("job", job);
+        this->cleaner.forget(job);
     }
     for (auto entry = this->workers.begin(); entry != this->workers.end();)
     {
--- a/src/cell/end_journal.cpp
+++ b/src/cell/end_journal.cpp
@@ -15,7 +15,7 @@
 {
 
 /// Ends gather for this long before they are written.
-constexpr milliseconds linger{8};
+constexpr milliseconds linger{15};
 /// A row of 64 KiB holds more than a thousand entries.
 constexpr std::size_t max_entries = 500;
 /// The store answers within 10 ms on a calm day; a repeat is recognised.
@@ -25,11 +25,12 @@
 } // namespace
 
 end_journal::end_journal(event_loop& loop, record_store& store,
-    holder_proof proof, std::function<void()> on_replaced)
+    holder_proof proof, std::function<void()> on_replaced, row_listener on_row)
     : loop(loop)
     , store(store)
     , proof(proof)
     , on_replaced(std::move(on_replaced))
+    , on_row(std::move(on_row))
 {
 }
 
@@ -118,6 +119,12 @@
         metrics().count("journal_writes");
         metrics().count(
             "journal_entries", static_cast<std::int64_t>(this->sent.size()));
+        std::set<std::string> jobs;
+        for (item const& one : this->sent)
+        {
+            jobs.insert(one.entry.task.step.job);
+        }
+        this->on_row(this->row().key, jobs);
         std::vector<item> durable = std::move(this->sent);
         this->sent.clear();
         if (!this->open.empty())
--- a/src/cell/job_acceptor.cpp
+++ b/src/cell/job_acceptor.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t max_batch = 40;
 constexpr std::size_t max_batch_bytes = 500'000;
 constexpr milliseconds commit_timeout{900};
+constexpr milliseconds least_timeout{50};
 constexpr milliseconds retry_delay{100};
 
 } // namespace
@@ -69,7 +70,7 @@
         this->sent.push_back(std::move(next));
     }
     this->waiting = std::move(left);
-    this->store.commit(change, commit_timeout,
+    this->store.commit(change, this->time_left(),
         [this, alive = this->alive](change_result const& result)
         {
             if (*alive)
@@ -79,6 +80,18 @@
         });
 }
 
+milliseconds job_acceptor::time_left() const
+{
+    // Nobody is told later than agreed that the outcome is unknown.
+    milliseconds left = commit_timeout;
+    for (submission const& one : this->sent)
+    {
+        left = std::min(left, std::chrono::duration_cast<milliseconds>(
+                                  one.give_up - this->loop.now()));
+    }
+    return std::max(left, least_timeout);
+}
+
 void job_acceptor::probe()
 {
     if (this->probing)
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -17,9 +17,8 @@
 constexpr milliseconds beat_period{300};
 /// Others take the row after this long without a beat; four beats may fail.
 constexpr milliseconds vacant_after{1700};
-/// The holder starts no work after this long without a confirmed beat. Its
-/// beats are sent before others see them, so this ends first.
-constexpr milliseconds permission{1300};
+/// The same where the holder does not answer on its link, either.
+constexpr milliseconds vacant_after_unreachable{900};
 constexpr milliseconds consider_period{100};
 /// Instances that find the row vacant together try at different moments.
 constexpr std::int64_t stagger_max_ms = 150;
@@ -98,7 +97,9 @@
         // A holder of this name is an earlier run of this very process.
         return true;
     }
-    return this->loop.now() - this->beat_seen > vacant_after;
+    auto silent = this->loop.now() - this->beat_seen;
+    return silent > vacant_after || (silent > vacant_after_unreachable &&
+                                        this->listener.is_leader_unreachable());
 }
 
 void leadership::consider()
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -3,6 +3,7 @@
 #include "toucanlever/cell/job_acceptor.hpp"
 #include "toucanlever/cell/leadership.hpp"
 #include "toucanlever/cell/record_follower.hpp"
+#include "toucanlever/cell/row_cleaner.hpp"
 
 #include "cell/cell_tables.hpp"
 #include "fake_record_store.hpp"
@@ -42,6 +43,8 @@
     return record;
 }
 
+void ignore_row(std::string const&, std::set<std::string> const&) {}
+
 end_record make_end(std::uint32_t index)
 {
     return {{{"job", 0, 0}, index}, 1, run_end::succeeded};
@@ -64,7 +67,10 @@
         this->leader = found ? found->name : "";
     }
 
+    bool is_leader_unreachable() const override { return this->cut_off; }
+
     holder_proof proof;
+    bool cut_off = false;
     int deposed = 0;
     std::string leader;
     leadership part;
@@ -152,7 +158,8 @@
 {
     store_bench bench;
     std::int64_t version = bench.store.set(tables::holder_row(), "h");
-    end_journal journal(bench.loop, bench.store, {1, version}, [] {});
+    end_journal journal(
+        bench.loop, bench.store, {1, version}, [] {}, ignore_row);
     int durable = 0;
     for (std::uint32_t i = 0; i < 50; ++i)
     {
@@ -167,7 +174,8 @@
 {
     store_bench bench;
     std::int64_t version = bench.store.set(tables::holder_row(), "h");
-    end_journal journal(bench.loop, bench.store, {1, version}, [] {});
+    end_journal journal(
+        bench.loop, bench.store, {1, version}, [] {}, ignore_row);
     bench.store.lose_answers = 1;
     int durable = 0;
     journal.append(make_end(0), [&durable] { ++durable; });
@@ -181,8 +189,9 @@
     store_bench bench;
     std::int64_t version = bench.store.set(tables::holder_row(), "h");
     bool replaced = false;
-    end_journal journal(bench.loop, bench.store, {1, version},
-        [&replaced] { replaced = true; });
+    end_journal journal(
+        bench.loop, bench.store, {1, version}, [&replaced] { replaced = true; },
+        ignore_row);
     bench.store.set(tables::holder_row(), "another");
     int durable = 0;
     journal.append(make_end(0), [&durable] { ++durable; });
@@ -192,6 +201,44 @@
     cr_assert(bench.store.count(tables::journal) == 0U);
 }
 
+Test(row_cleaner, a_jobs_own_rows_go_before_what_proves_its_end)
+{
+    store_bench bench;
+    record_key const job = tables::job_row("node", "a");
+    record_key const again = tables::job_row("other", "a");
+    record_key const cancel = tables::cancel_row("node", "a");
+    record_key const row{tables::journal, tables::scheduler_part, "1.1"};
+    for (record_key const& at : {job, again, cancel, row})
+    {
+        bench.store.set(at, "v");
+    }
+    row_cleaner cleaner(bench.loop, bench.store);
+    cleaner.note_job_row("a", job);
+    cleaner.note_job_row("a", again);
+    cleaner.note_cancel_row("a", cancel);
+    cleaner.note_journal_row("1.1", {"a", "b"});
+    cleaner.note_job_row("b", tables::job_row("node", "b"));
+    cleaner.forget("a");
+    bench.store.away = true;
+    bench.pass(milliseconds(1000));
+    bench.store.away = false;
+    for (int i = 0; i < 40; ++i)
+    {
+        bench.pass(milliseconds(50));
+        bool own = bench.store.find(job) != nullptr ||
+                   bench.store.find(again) != nullptr;
+        cr_assert(bench.store.find(cancel) != nullptr || !own);
+    }
+    cr_assert(bench.store.find(job) == nullptr);
+    cr_assert(bench.store.find(again) == nullptr);
+    cr_assert(bench.store.find(cancel) == nullptr);
+    // Another job of the row has not been forgotten.
+    cr_assert(bench.store.find(row) != nullptr);
+    cleaner.forget("b");
+    bench.pass(milliseconds(1000));
+    cr_assert(bench.store.find(row) == nullptr);
+}
+
 Test(record_follower, reads_all_pages_then_follows_and_reads_again_when_lost)
 {
     store_bench bench;
@@ -260,6 +307,21 @@
     cr_assert(b.proof.fence == 2U);
 }
 
+Test(leadership, an_unreachable_holder_is_followed_sooner)
+{
+    store_bench bench;
+    auto a = std::make_unique<candidate>(bench, "a");
+    bench.pass(milliseconds(1000));
+    candidate b(bench, "b");
+    b.cut_off = true;
+    bench.pass(milliseconds(1500));
+    // Its beats are seen, so it holds the row rightly.
+    cr_assert_not(b.part.is_holder());
+    a.reset();
+    bench.pass(milliseconds(1400));
+    cr_assert(b.part.is_holder());
+}
+
 Test(leadership, a_holder_that_resigns_is_followed_at_once)
 {
     store_bench bench;
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -83,7 +83,7 @@
             *this->broker, this->queues, "workers-listed",
             [](std::string const&, std::string const& value)
             { return std::optional(unpack<worker_entry>(value, "test")); },
-            [this] { return this->may_start; },
+            [this] { return this->may_start; }, milliseconds(1300),
             [] { return time_point::max(); }, milliseconds(60000), false};
         this->term = std::make_unique<dispatcher>(std::move(parts),
             holder_proof{this->fence, version},
@@ -246,6 +246,9 @@
     bench.begin_term();
     bench.submit("new", 1);
     bench.pass(second);
+    // The predecessor may still start it, on the worker that only it reaches.
+    cr_assert(bench.workers.running() == 0U);
+    bench.pass(second);
     cr_assert(bench.workers.running() == 1U);
 }
 
