Rows that a job leaves over are removed without another one's end

Cause: the cleaner's test: after a job's own rows nothing asked for the removal of its cancellation.

Change: one round may end a job and remove what it leaves.

--- a/include/toucanlever/cell/row_cleaner.hpp
+++ b/include/toucanlever/cell/row_cleaner.hpp
@@ -51,6 +51,7 @@
     void clean_soon();
     void clean();
     void clean_next_job();
+    void take_needless();
     void take(change_result const& result);
     void release(job_rows const& rows);
 
--- a/src/cell/row_cleaner.cpp
+++ b/src/cell/row_cleaner.cpp
@@ -83,16 +83,9 @@
     {
         this->clean_next_job();
     }
-    else
+    if (this->removing.empty())
     {
-        // One transaction removes rows of one part only.
-        std::string const part = this->needless.front().part;
-        while (!this->needless.empty() && this->needless.front().part == part &&
-               this->removing.size() < max_removals)
-        {
-            this->removing.push_back(this->needless.front());
-            this->needless.pop_front();
-        }
+        this->take_needless();
     }
     if (this->removing.empty())
     {
@@ -110,6 +103,18 @@
         });
 }
 
+void row_cleaner::take_needless()
+{
+    // One transaction removes rows of one part only.
+    while (!this->needless.empty() && this->removing.size() < max_removals &&
+           (this->removing.empty() ||
+               this->needless.front().part == this->removing.front().part))
+    {
+        this->removing.push_back(this->needless.front());
+        this->needless.pop_front();
+    }
+}
+
 void row_cleaner::clean_next_job()
 {
     while (!this->forgotten.empty() && this->removing.empty())
