Larger instances are elected first

Cause: on the grown deployments instances have 0.12 to 0.5 of a core, and the active scheduler needs 0.4.

Change: an instance with less than half a core waits up to 300 ms longer before it takes the row.

What binds there is the active scheduler's processor (docs/CAPACITY.md). No effect on instances of one size.

--- a/include/toucanlever/cell/cell_settings.hpp
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -20,6 +20,9 @@
     std::string metrics_address;
     std::string store_address;
     std::string advice_address;
+    /// Share of a core that this instance has: the larger ones are to be the
+    /// active scheduler.
+    double cpu_share = 1.0;
     /// Longest lease that workers grant.
     milliseconds max_lease{10000};
     /// Between SIGTERM and SIGKILL.
--- a/include/toucanlever/cell/leadership.hpp
+++ b/include/toucanlever/cell/leadership.hpp
@@ -48,9 +48,13 @@
 class leadership
 {
 public:
-    /// `self` has everything but the token filled in.
+    /// `self` has everything but the token filled in. An instance with less
+    /// than `full_share` of a core lets larger ones try first.
     leadership(event_loop& loop, record_store& store, leader_row self,
-        leadership_listener& listener);
+        double cpu_share, leadership_listener& listener);
+
+    /// The share of a core with which an instance tries at once.
+    static constexpr double full_share = 0.5;
     ~leadership();
 
     bool is_holder() const { return this->held.has_value(); }
@@ -87,6 +91,7 @@
     event_loop& loop;
     record_store& store;
     leader_row self;
+    milliseconds handicap;
     leadership_listener& listener;
     std::unique_ptr<record_follower> follower;
     std::optional<leader_row> leader;
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -34,7 +34,7 @@
         make_incarnation(settings.failure_domain, settings.name),
         settings.peer_address, 0, false};
     this->election = std::make_unique<leadership>(loop, this->parts.store, self,
-        static_cast<leadership_listener&>(*this));
+        settings.cpu_share, static_cast<leadership_listener&>(*this));
     this->hello = loop.every(hello_period, [this] { this->say_hello(); });
 }
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -31,13 +31,23 @@
         std::uniform_int_distribution<std::int64_t>(0, stagger_max_ms)(random));
 }
 
+/// Scheduling takes the more of a core, the more work there is; an instance
+/// with an eighth of one would fall behind.
+milliseconds handicap_of(double cpu_share)
+{
+    constexpr double most_ms = 300.0;
+    double lacking = 1.0 - std::min(1.0, cpu_share / leadership::full_share);
+    return milliseconds(static_cast<std::int64_t>(most_ms * lacking));
+}
+
 } // namespace
 
 leadership::leadership(event_loop& loop, record_store& store, leader_row self,
-    leadership_listener& listener)
+    double cpu_share, leadership_listener& listener)
     : loop(loop)
     , store(store)
     , self(std::move(self))
+    , handicap(handicap_of(cpu_share))
     , listener(listener)
     , beat_seen(loop.now())
 {
@@ -123,7 +133,7 @@
         return;
     }
     this->attempt_pending = true;
-    this->loop.after(stagger(),
+    this->loop.after(this->handicap + stagger(),
         [this, alive = this->alive]
         {
             if (*alive)
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -54,9 +54,11 @@
 class candidate final : public leadership_listener
 {
 public:
-    candidate(store_bench& bench, std::string const& name)
+    candidate(
+        store_bench& bench, std::string const& name, double cpu_share = 1.0)
         : part(bench.loop, bench.store,
-              leader_row{name, name + ".1", "127.0.0.1:1", 0, false}, *this)
+              leader_row{name, name + ".1", "127.0.0.1:1", 0, false}, cpu_share,
+              *this)
     {
     }
 
@@ -280,6 +282,15 @@
     cr_assert(holders == 1);
 }
 
+Test(leadership, the_largest_instance_is_elected)
+{
+    store_bench bench;
+    candidate small(bench, "small", 0.12);
+    candidate large(bench, "large", 0.5);
+    bench.pass(milliseconds(2000));
+    cr_assert(large.part.is_holder());
+}
+
 Test(leadership, a_holder_without_the_store_stops_starting_work_first)
 {
     store_bench bench;
