A call to the external policy ends when its instance goes

The log shows a step that became ready and asked nothing for 21 s. Its call went through an instance that froze; when that was dropped as unheard, its link went, and with it the call.

Change: the broker keeps its calls and fails those of a member that goes.

Measured: a_call_ends_when_its_instance_is_no_longer_heard fails without the line and passes with it.

--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -67,6 +67,16 @@
 
     void forward(std::string const& name, advice_request const& request,
         microseconds duration, callback done);
+    /// A call that was begun and has not ended.
+    struct open_call
+    {
+        std::string member;
+        callback done;
+    };
+
+    void finish(std::uint64_t call, advice_result const& result);
+    /// Ends the calls of a member that goes: its link tells nobody.
+    void fail_calls(std::string const& member);
     void free_lane(std::string const& name, bool answered);
     void drop_unheard();
 
@@ -75,6 +85,8 @@
     std::string self;
     std::map<std::string, member> members;
     std::vector<advice_lane> lanes;
+    std::map<std::uint64_t, open_call> calls;
+    std::uint64_t next_call = 1;
     event_loop::timer_id sweep = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -79,6 +79,7 @@
     entry.heard = this->loop.now();
     if (entry.address != hello.address)
     {
+        this->fail_calls(hello.name);
         entry.address = hello.address;
         entry.link = std::make_unique<rpc_client>(
             this->loop, hello.address, rpc_timing{});
@@ -105,6 +106,7 @@
             continue;
         }
         log_line("member-unheard").with("member", entry->first);
+        this->fail_calls(entry->first);
         std::erase_if(this->lanes, [&entry](advice_lane const& lane)
             { return lane.name == entry->first; });
         entry = this->members.erase(entry);
@@ -125,21 +127,53 @@
     ++lane->outstanding;
     lane->busy_until = std::max(lane->busy_until, now) + duration;
     std::string name = lane->name;
-    auto finish = [this, name, done = std::move(done), alive = this->alive](
-                      advice_result const& result)
+    std::uint64_t call = this->next_call++;
+    this->calls.emplace(call, open_call{name, std::move(done)});
+    auto ended = [this, call, alive = this->alive](advice_result const& result)
     {
         if (*alive)
         {
-            this->free_lane(name, result.answered);
-            done(result);
+            this->finish(call, result);
         }
     };
     if (name == this->self)
     {
-        this->local.ask(step, workers, finish);
+        this->local.ask(step, workers, ended);
         return;
     }
-    this->forward(name, advice_request{step, workers}, duration, finish);
+    this->forward(name, advice_request{step, workers}, duration, ended);
+}
+
+void advice_broker::finish(std::uint64_t call, advice_result const& result)
+{
+    auto found = this->calls.find(call);
+    if (found == this->calls.end())
+    {
+        return;
+    }
+    open_call ended = std::move(found->second);
+    this->calls.erase(found);
+    this->free_lane(ended.member, result.answered);
+    ended.done(result);
+}
+
+void advice_broker::fail_calls(std::string const& member)
+{
+    for (auto const& [call, open] : this->calls)
+    {
+        if (open.member != member)
+        {
+            continue;
+        }
+        this->loop.post(
+            [this, call = call, alive = this->alive]
+            {
+                if (*alive)
+                {
+                    this->finish(call, advice_result{});
+                }
+            });
+    }
 }
 
 void advice_broker::free_lane(std::string const& name, bool answered)
--- a/tests/unit/advice_broker.tests.cpp
+++ b/tests/unit/advice_broker.tests.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/cell/advice_broker.hpp"
 
+#include "loopback.hpp"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -35,6 +37,27 @@
     return true;
 }
 
+/// A policy that is never asked here.
+class no_advice final : public placement_advice
+{
+public:
+    void ask(step_id const&, std::vector<std::string> const&, callback) override
+    {
+    }
+};
+
+/// An instance that takes requests and answers none.
+class silent_instance final : public rpc_handler
+{
+public:
+    void on_request(frame const&, std::string const&, rpc_responder) override
+    {
+        ++this->requests;
+    }
+
+    int requests = 0;
+};
+
 } // namespace
 
 Test(advice_broker, long_calls_leave_half_of_the_lanes_to_short_ones)
@@ -74,3 +97,35 @@
     lanes[0].rest_until = now + milliseconds(1);
     cr_assert_not(begin(lanes, short_call));
 }
+
+Test(advice_broker, a_call_ends_when_its_instance_is_no_longer_heard)
+{
+    manual_clock time;
+    event_loop loop(time);
+    silent_instance silent;
+    std::string const address = own_ip(3) + ":7500";
+    rpc_server server(loop, address, silent, rpc_timing{});
+    no_advice local;
+    advice_broker broker(loop, local, "self");
+    auto pass = [&](milliseconds span)
+    {
+        constexpr milliseconds step{20};
+        for (milliseconds done{0}; done < span; done += step)
+        {
+            time.advance(step);
+            loop.run_ready();
+        }
+    };
+    broker.hear({"one", address});
+    broker.hear({"two", address});
+    pass(milliseconds(400));
+    int answers = 0;
+    // The link alone would give it up after 5.5 s.
+    broker.ask({"job", 0, 0}, {"w"}, milliseconds(2000),
+        [&answers](advice_result const& result)
+        { answers += result.answered ? 100 : 1; });
+    pass(milliseconds(200));
+    cr_assert(silent.requests == 1);
+    pass(milliseconds(2400));
+    cr_assert(answers == 1);
+}
