--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -580,7 +580,7 @@
     std::int64_t tasks = 0;
     for (auto const& [free, worker] : freest)
     {
-        if (tasks >= 2 * static_cast<std::int64_t>(request.tasks))
+        if (tasks >= request.tasks)
         {
             return;
         }
