Split the dispatcher by what each part knows; one set of HTTP status names

The adapter's files each named HTTP status codes anew.

Ruled out: a change of behaviour beside two mends that the split's reading found: a start on its way to a worker's former life is stopped at the next one, and waiting jobs are counted as they come and go instead of by a scan of all.

Change: step_planner, reserved_starts, task_orders, worker_reports and worker_roster work on one dispatch_state; http/status.hpp has the codes; the setting max_lease_ms, which nothing used, is gone.

--- a/include/toucanlever/cell/cell_settings.hpp
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -23,8 +23,6 @@
     /// Share of a core that this instance has: the larger ones are to be the
     /// active scheduler.
     double cpu_share = 1.0;
-    /// Longest lease that workers grant.
-    milliseconds max_lease{10000};
     /// Between SIGTERM and SIGKILL.
     milliseconds stop_grace{6000};
     /// How long an ended job can be asked for.
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -42,6 +42,14 @@
     /// against a worker's capacity.
     bool fills = false;
 
+    /// What a task holds of a worker's capacity.
+    resources room() const
+    {
+        resources amount = this->need;
+        amount.cpu_millis = this->fills ? 0 : this->need.cpu_millis;
+        return amount;
+    }
+
     MSGPACK_DEFINE(tasks, need, estimated_ms, after, makes_checkpoints, gang,
         prefers_one_rack, required_label, data_rack, max_per_worker,
         long_running, fills)
--- a/include/toucanlever/cell/work_board.hpp
+++ b/include/toucanlever/cell/work_board.hpp
@@ -140,6 +140,9 @@
     /// A task holds none any more and waits again.
     void unplaced(task_id const& task);
 
+    /// A task of the job was started.
+    void note_begun(board_job& job);
+
     /// A run succeeded or failed. `whole_step` is a gang's success.
     end_effect ended(
         task_id const& task, std::uint64_t run, run_end how, time_point now);
@@ -151,7 +154,7 @@
     std::set<step_rank> const& ready() const { return this->ready_steps; }
 
     /// Open jobs of a queue of which no task has begun.
-    std::uint64_t waiting_jobs(std::string const& queue) const;
+    std::int64_t waiting_jobs(std::string const& queue) const;
 
     /// Forgets jobs that ended before; their ids.
     std::vector<std::string> forget_ended(time_point before);
@@ -176,9 +179,13 @@
     step_rank rank_of(board_job const& job, board_step const& step) const;
     bool is_ready(board_job const& job, board_step const& step) const;
     void finish(board_job& job, work_state state, time_point now);
+    /// The job enters (1) or leaves (-1) those that wait to begin.
+    void count_waiting(board_job const& job, std::int64_t step);
 
     std::map<std::string, std::unique_ptr<board_job>> jobs;
     std::set<step_rank> ready_steps;
+    // By queue: open jobs without occurrences that have not begun.
+    std::map<std::string, std::int64_t> waiting;
     // Jobs with occurrences that are not made yet, by the wall time of the
     // next one.
     std::set<std::pair<std::int64_t, std::string>> scheduled;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -50,6 +50,12 @@
     /// Orders sent without an answer.
     std::uint32_t unanswered = 0;
     bool order_pending = false;
+
+    /// A start that nobody confirmed may be carried out later.
+    bool may_still_start() const
+    {
+        return this->phase == hold_phase::starting || this->unanswered > 0;
+    }
 };
 
 /// A worker and what is on it.
@@ -67,6 +73,8 @@
     std::uint64_t kept_in_round = 0;
     /// It is no longer listed.
     bool unlisted = false;
+    /// When it started, by its last answer; another figure is another life.
+    std::int64_t life_ms = 0;
     /// Runs that failed here since one last succeeded.
     std::uint32_t failures = 0;
     /// After this many failures in a row it gets no work until then.
--- /dev/null
+++ b/include/toucanlever/http/status.hpp
@@ -0,0 +1,19 @@
+/// HTTP status codes by name.
+#pragma once
+
+namespace toucanlever::http_status
+{
+
+inline constexpr int ok = 200;
+inline constexpr int bad_request = 400;
+inline constexpr int not_found = 404;
+inline constexpr int method_not_allowed = 405;
+inline constexpr int conflict = 409;
+inline constexpr int gone = 410;
+inline constexpr int precondition_failed = 412;
+inline constexpr int misdirected_request = 421;
+inline constexpr int too_many_requests = 429;
+inline constexpr int unavailable = 503;
+inline constexpr int gateway_timeout = 504;
+
+} // namespace toucanlever::http_status
--- a/src/cell/job_acceptor.cpp
+++ b/src/cell/job_acceptor.cpp
@@ -20,6 +20,13 @@
 constexpr milliseconds least_timeout{50};
 constexpr milliseconds retry_delay{100};
 
+/// The store decided, one way or the other.
+bool was_answered(change_result const& result)
+{
+    return result.outcome == change_outcome::committed ||
+           result.outcome == change_outcome::conflict;
+}
+
 } // namespace
 
 job_acceptor::job_acceptor(
@@ -123,21 +130,17 @@
 
 void job_acceptor::take(change_result const& result)
 {
-    bool answered = result.outcome == change_outcome::committed ||
-                    result.outcome == change_outcome::conflict;
+    bool answered = was_answered(result);
     this->failures = answered ? 0 : this->failures + 1;
     std::vector<submission> batch = std::move(this->sent);
     this->sent.clear();
     this->settle(std::move(batch), result);
-    if (!answered)
-    {
-        this->refuse_unsent();
-    }
     if (answered)
     {
         this->flush();
         return;
     }
+    this->refuse_unsent();
     this->retry();
 }
 
@@ -145,8 +148,7 @@
     std::vector<submission> batch, change_result const& result)
 {
     metrics().count("accept_batches");
-    bool answered = result.outcome == change_outcome::committed ||
-                    result.outcome == change_outcome::conflict;
+    bool answered = was_answered(result);
     std::set<std::string> present;
     for (record const& row : result.current)
     {
--- /dev/null
+++ b/src/cell/step_planner.cpp
@@ -0,0 +1,322 @@
+#include "toucanlever/cell/step_planner.hpp"
+
+#include <algorithm>
+
+namespace toucanlever
+{
+namespace
+{
+
+/// Events gather for this long before steps are looked at.
+constexpr milliseconds plan_delay{1};
+/// While many steps wait for room, most events change nothing for them.
+constexpr milliseconds crowded_plan_delay{8};
+constexpr std::size_t crowded = 60;
+/// Runs of one term of the active scheduler are numbered from here on, so
+/// that they pass all runs of earlier terms, which nobody may have recorded.
+constexpr std::uint64_t runs_per_term = 1000;
+/// How many steps one look examines; the rest wait for the next one.
+constexpr std::size_t max_steps_per_plan = 400;
+
+} // namespace
+
+step_planner::step_planner(dispatch_state& state, worker_roster const& roster,
+    task_orders& orders, reserved_starts& starts)
+    : state(state)
+    , roster(roster)
+    , orders(orders)
+    , starts(starts)
+    , began(state.parts.loop.now())
+{
+}
+
+step_planner::~step_planner()
+{
+    *this->alive = false;
+}
+
+void step_planner::enable()
+{
+    this->enabled = true;
+    this->plan_soon();
+}
+
+void step_planner::plan_soon()
+{
+    if (this->planned || !this->enabled)
+    {
+        return;
+    }
+    this->planned = true;
+    bool many = this->state.board.ready().size() > crowded;
+    this->state.parts.loop.after(many ? crowded_plan_delay : plan_delay,
+        [this, alive = this->alive]
+        {
+            if (*alive)
+            {
+                this->planned = false;
+                this->plan();
+            }
+        });
+}
+
+bool step_planner::may_start(board_job const& job) const
+{
+    if (this->roster.is_reconciled())
+    {
+        return true;
+    }
+    // Until its permission is over, a predecessor that does not know of its
+    // end may start jobs that came after it, on workers that only it reaches.
+    return job.version > this->state.proof.row_version &&
+           this->state.parts.loop.now() >=
+               this->began + this->state.parts.permission;
+}
+
+void step_planner::plan()
+{
+    if (!this->state.parts.may_start_work())
+    {
+        return;
+    }
+    std::vector<step_rank> ranks;
+    for (step_rank const& rank : this->state.board.ready())
+    {
+        if (ranks.size() == max_steps_per_plan)
+        {
+            break;
+        }
+        ranks.push_back(rank);
+    }
+    // Room that steps of higher rank wait for is kept for the round.
+    ++this->round;
+    resources const most = this->most_free();
+    for (step_rank const& rank : ranks)
+    {
+        board_step const* step = this->state.board.find(rank.id);
+        // A gang that fits nowhere keeps room for itself.
+        bool matters = step != nullptr &&
+                       (step->spec->gang || most.fits(step->spec->room()));
+        if (matters)
+        {
+            this->plan_step(rank);
+        }
+    }
+}
+
+resources step_planner::most_free() const
+{
+    resources most;
+    time_point now = this->state.parts.loop.now();
+    for (auto const& [id, worker] : this->state.pool.all())
+    {
+        if (worker.usable(now))
+        {
+            most.cpu_millis = std::max(most.cpu_millis, worker.free.cpu_millis);
+            most.memory_bytes =
+                std::max(most.memory_bytes, worker.free.memory_bytes);
+            most.accelerators =
+                std::max(most.accelerators, worker.free.accelerators);
+        }
+    }
+    return most;
+}
+
+placement_request step_planner::make_request(
+    board_job const& job, board_step const& step) const
+{
+    work_step const& spec = *step.spec;
+    placement_request request;
+    request.need = spec.room();
+    request.tasks = step.waiting;
+    request.all_or_none = spec.gang;
+    request.prefers_one_rack = spec.gang && spec.prefers_one_rack;
+    request.max_per_worker = spec.max_per_worker;
+    request.required_label = spec.required_label;
+    request.data_rack = spec.data_rack;
+    queue_terms const* terms =
+        this->state.parts.queues.terms(job.record.queue.name);
+    request.service =
+        terms != nullptr ? terms->service : job.record.queue.service;
+    for (board_task const& task : step.tasks)
+    {
+        if (!task.worker.empty())
+        {
+            ++request.placed[task.worker];
+        }
+    }
+    return request;
+}
+
+void step_planner::plan_step(step_rank const& rank)
+{
+    board_step* step = this->state.board.find(rank.id);
+    board_job* job = this->state.board.find(rank.id.job);
+    if (step == nullptr || !this->may_start(*job) || step->waiting == 0)
+    {
+        return;
+    }
+    // A gang waits until nothing is left of its run before.
+    bool partly = step->spec->gang && step->waiting < step->tasks.size();
+    if (partly)
+    {
+        this->orders.stop_step(rank.id);
+        return;
+    }
+    placement_request request = this->make_request(*job, *step);
+    bool advised = job->record.queue.advice.required;
+    request.allowed = [&](pool_worker const& worker)
+    {
+        return !this->is_kept(worker) &&
+               (!advised || step->advice.approved.contains(worker.entry.id));
+    };
+    std::vector<std::string> chosen =
+        place_step(this->state.pool, request, this->state.parts.loop.now());
+    if (chosen.size() < request.tasks && advised)
+    {
+        this->ask_unasked(*job, *step, request);
+    }
+    if (chosen.empty())
+    {
+        if (request.all_or_none && !step->advice.pending)
+        {
+            this->keep_room(*step, request);
+        }
+        return;
+    }
+    if (advised && !this->can_get_tickets(*job, *step, chosen))
+    {
+        for (std::string const& worker : chosen)
+        {
+            this->state.pool.find(worker)->kept_in_round = this->round;
+        }
+        return;
+    }
+    this->reserve(*step, chosen, request.need);
+    this->starts.start(*job, *step);
+}
+
+bool step_planner::can_get_tickets(board_job const& job, board_step const& step,
+    std::vector<std::string> const& chosen)
+{
+    std::set<std::string> lacking;
+    for (std::string const& worker : chosen)
+    {
+        if (!this->starts.has_ticket(step, worker))
+        {
+            lacking.insert(worker);
+        }
+    }
+    return lacking.empty() ||
+           (!step.advice.pending && this->state.parts.advice.has_lane(
+                                        decision_time(job, lacking.size())));
+}
+
+void step_planner::keep_room(
+    board_step const& step, placement_request const& request)
+{
+    std::vector<std::pair<std::int64_t, pool_worker*>> freest;
+    time_point now = this->state.parts.loop.now();
+    for (auto& [id, worker] : this->state.pool.all())
+    {
+        bool fitting =
+            worker.usable(now) && suits(worker.entry, request) &&
+            !this->is_kept(worker) &&
+            (step.advice.asked.empty() || step.advice.approved.contains(id));
+        if (fitting)
+        {
+            freest.emplace_back(-worker.free.cpu_millis, &worker);
+        }
+    }
+    std::sort(freest.begin(), freest.end());
+    std::int64_t tasks = 0;
+    for (auto const& [free, worker] : freest)
+    {
+        if (tasks >= request.tasks)
+        {
+            return;
+        }
+        worker->kept_in_round = this->round;
+        auto capacity = worker->entry.capacity.cpu_millis;
+        tasks += request.need.cpu_millis > 0
+                     ? capacity / request.need.cpu_millis
+                     : request.tasks;
+    }
+}
+
+std::uint64_t step_planner::next_run(
+    board_step const& step, bool whole_gang) const
+{
+    std::uint64_t last = (this->state.proof.fence - 1) * runs_per_term;
+    if (whole_gang)
+    {
+        for (board_task const& task : step.tasks)
+        {
+            last = std::max(last, task.run);
+        }
+    }
+    return last + 1;
+}
+
+void step_planner::reserve(board_step& step,
+    std::vector<std::string> const& chosen, resources const& need)
+{
+    std::uint64_t gang_run = this->next_run(step, step.spec->gang);
+    std::size_t next = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size() && next < chosen.size();
+         ++i)
+    {
+        board_task& task = step.tasks[i];
+        if (!task.waits())
+        {
+            continue;
+        }
+        room_hold wanted;
+        wanted.run =
+            step.spec->gang ? gang_run : std::max(gang_run, task.run + 1);
+        wanted.need = need;
+        task_id id{step.id, i};
+        this->state.pool.hold(*this->state.pool.find(chosen[next]), id, wanted);
+        this->state.board.placed(id, wanted.run, chosen[next]);
+        ++next;
+    }
+}
+
+void step_planner::ask_unasked(
+    board_job& job, board_step& step, placement_request const& request)
+{
+    board_advice& advice = step.advice;
+    if (advice.pending || this->state.parts.loop.now() < advice.ask_again_at)
+    {
+        return;
+    }
+    // Emptiest first, and for a few tasks not more than are likely to do.
+    constexpr std::size_t spare = 6;
+    constexpr std::size_t per_task = 3;
+    std::vector<std::pair<std::int64_t, std::string>> found;
+    for (auto const& [id, worker] : this->state.pool.all())
+    {
+        if (worker.usable(this->state.parts.loop.now()) &&
+            suits(worker.entry, request) && !advice.asked.contains(id))
+        {
+            found.emplace_back(-worker.free.cpu_millis, id);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    std::size_t wanted = request.all_or_none && request.tasks > 3
+                             ? placement_advice::max_workers
+                             : per_task * request.tasks + spare;
+    wanted = std::min({wanted, found.size(), placement_advice::max_workers});
+    std::vector<std::string> workers;
+    for (std::size_t i = 0; i < wanted; ++i)
+    {
+        workers.push_back(found[i].second);
+    }
+    if (workers.empty())
+    {
+        return;
+    }
+    this->starts.ask(job, step, workers);
+}
+
+} // namespace toucanlever
--- a/src/cell/work_board.cpp
+++ b/src/cell/work_board.cpp
@@ -60,6 +60,7 @@
     job.record = std::move(record);
     job.version = version;
     job.received = now;
+    this->count_waiting(job, 1);
     if (job.record.repetitions == 0)
     {
         this->make_occurrence(job, 0, now);
@@ -244,7 +245,7 @@
     }
     effect.current = run >= entry.run;
     entry.run = std::max(entry.run, run);
-    job.begun = true;
+    this->note_begun(job);
     if (!job.open() || step->spec->long_running)
     {
         return effect;
@@ -311,6 +312,10 @@
 
 void work_board::finish(board_job& job, work_state state, time_point now)
 {
+    if (!job.begun)
+    {
+        this->count_waiting(job, -1);
+    }
     job.state = state;
     job.ended_at = now;
     for (auto const& [occurrence, steps] : job.occurrences)
@@ -330,17 +335,31 @@
     return true;
 }
 
-std::uint64_t work_board::waiting_jobs(std::string const& queue) const
+void work_board::note_begun(board_job& job)
+{
+    if (job.begun)
+    {
+        return;
+    }
+    if (job.open())
+    {
+        this->count_waiting(job, -1);
+    }
+    job.begun = true;
+}
+
+void work_board::count_waiting(board_job const& job, std::int64_t step)
 {
-    std::uint64_t count = 0;
-    for (auto const& [id, job] : this->jobs)
+    if (job.record.repetitions == 0)
     {
-        bool counts = job->open() && !job->begun &&
-                      job->record.queue.name == queue &&
-                      job->record.repetitions == 0;
-        count += counts ? 1 : 0;
+        this->waiting[job.record.queue.name] += step;
     }
-    return count;
+}
+
+std::int64_t work_board::waiting_jobs(std::string const& queue) const
+{
+    auto found = this->waiting.find(queue);
+    return found == this->waiting.end() ? 0 : found->second;
 }
 
 std::vector<std::string> work_board::forget_ended(time_point before)
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -60,12 +60,13 @@
         }
     }
 
-    void list(std::string const& id)
+    void list(std::string const& id, bool leaving = false)
     {
         worker_entry entry;
         entry.id = id;
         entry.address = id;
         entry.service = "s";
+        entry.leaving = leaving;
         entry.capacity = {worker_cpu, 1 << 20, 0};
         this->store.set({"workers-listed", "", id}, pack(entry));
     }
@@ -128,6 +129,15 @@
         }
     }
 
+    /// Begins a term in which job "a" has one task; the worker that runs it.
+    std::string run_one_task()
+    {
+        this->begin_term();
+        this->submit("a", 1);
+        this->pass(milliseconds(1000));
+        return this->workers.all_starts.front().first;
+    }
+
     std::size_t starts_of(task_id const& task) const
     {
         return static_cast<std::size_t>(std::count_if(
@@ -202,10 +212,7 @@
 Test(dispatcher, an_end_known_only_to_an_unreachable_worker_is_waited_for)
 {
     cell_bench bench;
-    bench.begin_term();
-    bench.submit("a", 1);
-    bench.pass(second);
-    std::string place = bench.workers.all_starts.front().first;
+    std::string const place = bench.run_one_task();
     bench.end_term();
     bench.workers.end(place, first_task, run_end::succeeded);
     bench.workers.workers[place].silent = true;
@@ -222,10 +229,7 @@
 Test(dispatcher, an_unreachable_and_unlisted_worker_is_waited_for_too)
 {
     cell_bench bench;
-    bench.begin_term();
-    bench.submit("a", 1);
-    bench.pass(second);
-    std::string place = bench.workers.all_starts.front().first;
+    std::string const place = bench.run_one_task();
     bench.end_term();
     bench.workers.workers[place].silent = true;
     bench.store.commit({{}, {}, {{"workers-listed", "", place}}},
@@ -255,10 +259,7 @@
 Test(dispatcher, a_job_of_old_that_is_stored_again_is_no_new_job)
 {
     cell_bench bench;
-    bench.begin_term();
-    bench.submit("a", 1);
-    bench.pass(second);
-    std::string place = bench.workers.all_starts.front().first;
+    std::string const place = bench.run_one_task();
     bench.end_term();
     bench.workers.workers[place].silent = true;
     bench.begin_term();
@@ -290,10 +291,7 @@
 Test(dispatcher, tasks_of_a_lost_worker_run_elsewhere_after_its_lease)
 {
     cell_bench bench;
-    bench.begin_term();
-    bench.submit("a", 1);
-    bench.pass(second);
-    std::string place = bench.workers.all_starts.front().first;
+    std::string const place = bench.run_one_task();
     bench.workers.workers[place].silent = true;
     bench.pass(4 * second);
     cr_assert(bench.starts_of(first_task) == 1U);
@@ -409,10 +407,7 @@
 Test(dispatcher, a_worker_that_began_anew_has_lost_its_tasks)
 {
     cell_bench bench;
-    bench.begin_term();
-    bench.submit("a", 1);
-    bench.pass(second);
-    std::string place = bench.workers.all_starts.front().first;
+    std::string const place = bench.run_one_task();
     fake_cell_worker& worker = bench.workers.workers[place];
     worker = fake_cell_worker{};
     worker.started_ms = 2;
@@ -420,3 +415,44 @@
     cr_assert(bench.starts_of(first_task) == 2U);
     cr_assert(bench.workers.running() == 1U);
 }
+
+Test(dispatcher, a_start_that_arrives_at_a_workers_next_life_is_barred_there)
+{
+    cell_bench bench(1);
+    bench.begin_term();
+    fake_cell_worker& worker = bench.workers.workers["w0"];
+    worker.delay_starts = true;
+    bench.submit("a", 1);
+    bench.pass(milliseconds(50));
+    cr_assert(worker.delayed.size() >= 1U);
+    std::vector<start_order> const late = worker.delayed;
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    // What it runs next, it runs elsewhere.
+    bench.list("w0", true);
+    bench.list("w1");
+    bench.pass(2 * second);
+    cr_assert(bench.workers.workers["w1"].running.size() == 1U);
+    worker.delayed = late;
+    bench.workers.arrive("w0");
+    cr_assert(bench.workers.running() <= 1U);
+}
+
+Test(dispatcher, ends_and_runs_of_tasks_that_do_not_exist_change_nothing)
+{
+    cell_bench bench(1);
+    bench.run_one_task();
+    fake_cell_worker& worker = bench.workers.workers["w0"];
+    task_id const beyond{{"a", 0, 0}, 7};
+    task_id const unheard_of{{"x", 3, 2}, 1};
+    for (task_id const& task : {beyond, unheard_of})
+    {
+        worker.ended.push_back(
+            {++worker.last_number, task, 1, run_end::failed, "checkpoint"});
+    }
+    worker.running[beyond] = 1;
+    bench.pass(second);
+    cr_assert(worker.acknowledged == worker.last_number);
+    cr_assert_not(worker.running.contains(beyond));
+    cr_assert(bench.term->state_of("a") == work_state::running);
+}
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -22,6 +22,11 @@
     bool silent = false;
     /// Orders are carried out and not answered.
     int lose_answers = 0;
+    /// Starts get no answer and wait to be carried out by `arrive`.
+    bool delay_starts = false;
+    std::vector<start_order> delayed;
+    /// Runs that a stop has barred.
+    std::map<task_id, std::uint64_t> barred;
     std::map<task_id, std::uint64_t> running;
     std::vector<ended_task> ended;
     std::vector<start_order> starts;
@@ -44,15 +49,18 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
+        if (worker.delay_starts)
+        {
+            worker.delayed.push_back(order);
+            done({order_outcome::in_doubt, -1, "no answer"});
+            return;
+        }
         if (order.fence < worker.fence)
         {
             done({order_outcome::refused_fenced, this->clock(), {}});
             return;
         }
-        this->obey(worker, order.fence, order.lease_until_ms);
-        worker.starts.push_back(order);
-        worker.running[order.task] = order.run;
-        this->all_starts.push_back({target.id, order.task});
+        this->carry_out(target.id, order);
         bool lost = worker.lose_answers > 0;
         worker.lose_answers -= lost ? 1 : 0;
         done({lost ? order_outcome::in_doubt : order_outcome::done,
@@ -68,6 +76,8 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
+        worker.barred[order.task] =
+            std::max(worker.barred[order.task], order.run);
         auto found = worker.running.find(order.task);
         if (found != worker.running.end() && found->second <= order.run)
         {
@@ -107,6 +117,20 @@
         done(result);
     }
 
+    /// Delayed starts are carried out after all.
+    void arrive(std::string const& id)
+    {
+        std::vector<start_order> orders = std::move(this->workers[id].delayed);
+        this->workers[id].delayed.clear();
+        for (start_order const& order : orders)
+        {
+            if (order.run > this->workers[id].barred[order.task])
+            {
+                this->carry_out(id, order);
+            }
+        }
+    }
+
     /// A task ends on a worker.
     void end(std::string const& id, task_id const& task, run_end how)
     {
@@ -148,6 +172,15 @@
     std::vector<std::pair<std::string, task_id>> all_starts;
 
 private:
+    void carry_out(std::string const& id, start_order const& order)
+    {
+        fake_cell_worker& worker = this->workers[id];
+        this->obey(worker, order.fence, order.lease_until_ms);
+        worker.starts.push_back(order);
+        worker.running[order.task] = order.run;
+        this->all_starts.push_back({id, order.task});
+    }
+
     std::int64_t clock() const
     {
         return std::chrono::duration_cast<milliseconds>(
--- a/tests/unit/work_board.tests.cpp
+++ b/tests/unit/work_board.tests.cpp
@@ -164,3 +164,22 @@
     cr_assert(gone.size() == 1U);
     cr_assert(gone.front() == "over");
 }
+
+Test(work_board, counts_the_jobs_of_a_queue_that_have_not_begun)
+{
+    work_board board;
+    board.add(make_job("a", {make_step(1)}), 1, 0, now);
+    board.add(make_job("b", {make_step(1)}), 2, 0, now);
+    board.add(make_job("c", {make_step(1)}), 3, 0, now);
+    cr_assert(board.waiting_jobs("q") == 3);
+    board.note_begun(*board.find("a"));
+    board.note_begun(*board.find("a"));
+    cr_assert(board.waiting_jobs("q") == 2);
+    // A job that ends without having begun waits no longer, either.
+    board.cancel("b", now);
+    cr_assert(board.waiting_jobs("q") == 1);
+    run_once(board, {{"c", 0, 0}, 0}, 1, run_end::succeeded);
+    board.cancel("a", now);
+    cr_assert(board.waiting_jobs("q") == 0);
+    cr_assert(board.waiting_jobs("unheard-of") == 0);
+}
