Orders to workers pass through all instances

Cause: on the grown sites the active scheduler is at its processor's end: every start and every long poll of a worker is an HTTP call of its own, some 1,800 a second at 900 starts, and one instance makes them all.

Change: relayed_orders hands each worker's orders to an instance picked by rendezvous hashing, order_relay passes them on; an instance that does not answer rests for 2 s and its workers move on; one that stood still refuses what waited in its sockets. Links send the frames of one round of the loop in one call. A question about an unknown job is answered by the active scheduler once it has read all that was stored until 2 s ago; the store is asked only while there is no scheduler, twice a second at most for each instance.

--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -8,10 +8,9 @@
 /// asked next decides when there is a lane for it.
 #pragma once
 
-#include "toucanlever/cell/cell_messages.hpp"
+#include "toucanlever/cell/member_links.hpp"
 #include "toucanlever/cell/placement_advice.hpp"
 #include "toucanlever/core/event_loop.hpp"
-#include "toucanlever/wire/rpc.hpp"
 
 #include <map>
 #include <memory>
@@ -37,17 +36,16 @@
     std::vector<advice_lane>& lanes, microseconds duration, time_point now);
 
 /// The instances and what each was asked.
-class advice_broker
+class advice_broker final : private member_listener
 {
 public:
     using callback = placement_advice::callback;
 
-    /// `local` is used by this instance itself.
-    advice_broker(event_loop& loop, placement_advice& local, std::string name);
-    ~advice_broker();
-
-    /// An instance that can be asked; unheard ones are left out.
-    void hear(member_hello const& member);
+    /// `local` is used by this instance itself; the others are asked over
+    /// their links.
+    advice_broker(
+        event_loop& loop, placement_advice& local, member_links& members);
+    ~advice_broker() override;
 
     /// Whether a call of this length could begin now.
     bool has_lane(microseconds duration);
@@ -58,13 +56,9 @@
         microseconds duration, callback done);
 
 private:
-    struct member
-    {
-        std::unique_ptr<rpc_client> link;
-        time_point heard{};
-        std::string address;
-    };
-
+    void on_member_joined(std::string const& name) override;
+    /// Ends the calls of the member: its link tells nobody.
+    void on_member_gone(std::string const& name) override;
     void forward(std::string const& name, advice_request const& request,
         microseconds duration, callback done);
     /// A call that was begun and has not ended.
@@ -75,19 +69,14 @@
     };
 
     void finish(std::uint64_t call, advice_result const& result);
-    /// Ends the calls of a member that goes: its link tells nobody.
-    void fail_calls(std::string const& member);
     void free_lane(std::string const& name, bool answered);
-    void drop_unheard();
 
     event_loop& loop;
     placement_advice& local;
-    std::string self;
-    std::map<std::string, member> members;
+    member_links& members;
     std::vector<advice_lane> lanes;
     std::map<std::uint64_t, open_call> calls;
     std::uint64_t next_call = 1;
-    event_loop::timer_id sweep = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "toucanlever/cell/work.hpp"
+#include "toucanlever/cell/worker_orders.hpp"
 
 #include <cstdint>
 #include <string>
@@ -63,13 +64,15 @@
     MSGPACK_DEFINE(job)
 };
 
-/// `known` is false when the active scheduler has not heard of the job.
+/// `known` is false when the active scheduler has not heard of the job;
+/// `absent` when it knows that there is none.
 struct work_reply
 {
     bool known = false;
     work_state state = work_state::queued;
+    bool absent = false;
 
-    MSGPACK_DEFINE(known, state)
+    MSGPACK_DEFINE(known, state, absent)
 };
 
 /// Asks how many jobs of a queue have not begun.
@@ -97,4 +100,29 @@
     MSGPACK_DEFINE(step, workers)
 };
 
+/// Asks an instance to pass an order on to a worker.
+struct relayed_start
+{
+    worker_target worker;
+    start_order order;
+
+    MSGPACK_DEFINE(worker, order)
+};
+
+struct relayed_stop
+{
+    worker_target worker;
+    stop_order order;
+
+    MSGPACK_DEFINE(worker, order)
+};
+
+struct relayed_watch
+{
+    worker_target worker;
+    watch_order order;
+
+    MSGPACK_DEFINE(worker, order)
+};
+
 } // namespace toucanlever
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -9,7 +9,9 @@
 #include "toucanlever/cell/dispatcher.hpp"
 #include "toucanlever/cell/job_acceptor.hpp"
 #include "toucanlever/cell/leadership.hpp"
+#include "toucanlever/cell/order_relay.hpp"
 #include "toucanlever/cell/placement_advice.hpp"
+#include "toucanlever/cell/relayed_orders.hpp"
 
 #include <functional>
 #include <memory>
@@ -19,22 +21,6 @@
 namespace toucanlever
 {
 
-/// How a question about a job was answered.
-enum class lookup_outcome
-{
-    found,
-    no_such_job,
-    /// Nobody who knows can be reached.
-    unavailable
-};
-
-/// The answer.
-struct lookup_result
-{
-    lookup_outcome outcome = lookup_outcome::unavailable;
-    work_state state = work_state::queued;
-};
-
 /// What a node is made of; all outlive it.
 struct cell_node_parts
 {
@@ -91,8 +77,17 @@
     void forward(work_record const& record, milliseconds patience,
         std::function<void(accept_result)> done);
     void announce(work_record const& record, std::int64_t version);
+    /// Asks the store, which costs a call for each of its parts: callers'
+    /// questions do so now and then only, while no scheduler answers.
+    void look_up_sparingly(
+        std::string const& job, std::function<void(lookup_result)> done);
     void look_up_stored(
         std::string const& job, std::function<void(lookup_result)> done);
+    /// Asks the active scheduler; `without_leader` follows when there is
+    /// none.
+    void ask_leader(std::string const& job,
+        std::function<void(lookup_result)> done,
+        std::function<void()> without_leader);
     struct stored_lookup;
     void look_up_parts(std::string const& job,
         std::vector<std::string> const& parts,
@@ -107,11 +102,15 @@
     std::unique_ptr<rpc_server> server;
     // The active scheduler, when that is another instance.
     std::unique_ptr<rpc_client> leader;
+    order_relay relay;
+    // These four are set while this instance is the active scheduler.
+    std::unique_ptr<member_links> members;
     std::unique_ptr<advice_broker> broker;
-    // Set while this instance is the active scheduler.
+    std::unique_ptr<relayed_orders> orders;
     std::unique_ptr<dispatcher> scheduler;
     std::unique_ptr<leadership> election;
     event_loop::timer_id hello = 0;
+    time_point next_stored_lookup{};
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -33,8 +33,8 @@
     void accept(work_record record, std::int64_t version);
     void cancel(std::string const& job);
 
-    /// Nothing for a job that is not known (yet).
-    std::optional<work_state> state_of(std::string const& job);
+    /// `no_such_job` only when all that was stored lately has been read.
+    lookup_result look_up(std::string const& job);
     std::uint64_t waiting_jobs(std::string const& queue) const;
 
     /// True once all that the store holds has been read.
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -165,6 +165,22 @@
         row{work_state::cancelled, "cancelled"}};
 };
 
+/// How a question about a job was answered.
+enum class lookup_outcome : std::uint8_t
+{
+    found,
+    no_such_job,
+    /// Nobody who knows can be reached.
+    unavailable
+};
+
+/// The answer.
+struct lookup_result
+{
+    lookup_outcome outcome = lookup_outcome::unavailable;
+    work_state state = work_state::queued;
+};
+
 /// How a run of a task ended.
 enum class run_end : std::uint8_t
 {
--- a/include/toucanlever/cell/worker_orders.hpp
+++ b/include/toucanlever/cell/worker_orders.hpp
@@ -36,7 +36,7 @@
 };
 
 /// How an order ended.
-enum class order_outcome
+enum class order_outcome : std::uint8_t
 {
     done,
     /// The scheduler's fencing token is not the highest.
@@ -76,6 +76,8 @@
     order_outcome outcome = order_outcome::in_doubt;
     std::int64_t clock_ms = -1;
     std::string problem;
+
+    MSGPACK_DEFINE(outcome, clock_ms, problem)
 };
 
 /// Starts one run of a task.
@@ -88,6 +90,9 @@
     std::uint64_t fence = 0;
     std::string checkpoint;
     std::string ticket;
+
+    MSGPACK_DEFINE(
+        task, run, payload, lease_until_ms, fence, checkpoint, ticket)
 };
 
 /// Stops a run, and bars it and all before it.
@@ -96,6 +101,8 @@
     task_id task;
     std::uint64_t run = 0;
     std::uint64_t fence = 0;
+
+    MSGPACK_DEFINE(task, run, fence)
 };
 
 /// Renews the lease and asks what runs and what has ended.
@@ -107,6 +114,8 @@
     std::int64_t acknowledged = 0;
     /// How long the answer may wait for an end.
     std::int64_t wait_ms = 0;
+
+    MSGPACK_DEFINE(fence, lease_until_ms, acknowledged, wait_ms)
 };
 
 /// A run that goes on.
@@ -117,6 +126,8 @@
     std::string checkpoint;
     /// Of its work, in percent.
     int progress = 0;
+
+    MSGPACK_DEFINE(task, run, checkpoint, progress)
 };
 
 /// A run that has ended; numbers rise within one life of the worker.
@@ -127,6 +138,8 @@
     std::uint64_t run = 0;
     run_end how = run_end::failed;
     std::string checkpoint;
+
+    MSGPACK_DEFINE(number, task, run, how, checkpoint)
 };
 
 /// What a worker says of itself.
@@ -140,6 +153,9 @@
     /// False when the list of ends was cut short.
     bool all_ends = true;
     std::string problem;
+
+    MSGPACK_DEFINE(
+        outcome, clock_ms, started_ms, running, ended, all_ends, problem)
 };
 
 /// Where and at which life of a worker an order is meant to arrive.
@@ -147,6 +163,8 @@
 {
     std::string id;
     std::string address;
+
+    MSGPACK_DEFINE(id, address)
 };
 
 /// Calls to workers. Callbacks come exactly once, on the loop's thread. A
@@ -167,3 +185,5 @@
 };
 
 } // namespace toucanlever
+
+MSGPACK_ADD_ENUM(toucanlever::order_outcome)
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -45,7 +45,12 @@
     advice_request = 32,
     advice_reply = 33,
     work_submit = 34,
-    work_submit_reply = 35
+    work_submit_reply = 35,
+    relayed_start = 36,
+    relayed_stop = 37,
+    relayed_watch = 38,
+    order_reply = 39,
+    watch_reply = 40
 };
 
 template <>
@@ -86,7 +91,12 @@
         row{message_type::advice_request, "advice-request"},
         row{message_type::advice_reply, "advice-reply"},
         row{message_type::work_submit, "work-submit"},
-        row{message_type::work_submit_reply, "work-submit-reply"}};
+        row{message_type::work_submit_reply, "work-submit-reply"},
+        row{message_type::relayed_start, "relayed-start"},
+        row{message_type::relayed_stop, "relayed-stop"},
+        row{message_type::relayed_watch, "relayed-watch"},
+        row{message_type::order_reply, "order-reply"},
+        row{message_type::watch_reply, "watch-reply"}};
 };
 
 } // namespace toucanlever
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -17,9 +17,6 @@
 constexpr std::uint32_t max_outstanding = 3;
 /// An answer that takes this much longer than it should is given up.
 constexpr milliseconds answer_margin{1500};
-/// Instances say hello twice a second.
-constexpr milliseconds unheard_after{1600};
-constexpr milliseconds sweep_period{500};
 
 } // namespace
 
@@ -53,63 +50,26 @@
 }
 
 advice_broker::advice_broker(
-    event_loop& loop, placement_advice& local, std::string name)
+    event_loop& loop, placement_advice& local, member_links& members)
     : loop(loop)
     , local(local)
-    , self(std::move(name))
+    , members(members)
 {
-    this->lanes.push_back({this->self, 0, {}, {}});
-    this->sweep =
-        this->loop.every(sweep_period, [this] { this->drop_unheard(); });
+    this->lanes.push_back({members.self(), 0, {}, {}});
+    members.listen(*this);
 }
 
 advice_broker::~advice_broker()
 {
     *this->alive = false;
-    this->loop.cancel(this->sweep);
 }
 
-void advice_broker::hear(member_hello const& hello)
+void advice_broker::on_member_joined(std::string const& name)
 {
-    if (hello.name == this->self)
-    {
-        return;
-    }
-    member& entry = this->members[hello.name];
-    entry.heard = this->loop.now();
-    if (entry.address != hello.address)
-    {
-        this->fail_calls(hello.name);
-        entry.address = hello.address;
-        entry.link = std::make_unique<rpc_client>(
-            this->loop, hello.address, rpc_timing{});
-        log_line("member-joined")
-            .with("member", hello.name)
-            .with("address", hello.address);
-    }
-    auto same = [&hello](advice_lane const& lane)
-    { return lane.name == hello.name; };
+    auto same = [&name](advice_lane const& lane) { return lane.name == name; };
     if (std::none_of(this->lanes.begin(), this->lanes.end(), same))
     {
-        this->lanes.push_back({hello.name, 0, {}, {}});
-    }
-}
-
-void advice_broker::drop_unheard()
-{
-    time_point now = this->loop.now();
-    for (auto entry = this->members.begin(); entry != this->members.end();)
-    {
-        if (now - entry->second.heard < unheard_after)
-        {
-            ++entry;
-            continue;
-        }
-        log_line("member-unheard").with("member", entry->first);
-        this->fail_calls(entry->first);
-        std::erase_if(this->lanes, [&entry](advice_lane const& lane)
-            { return lane.name == entry->first; });
-        entry = this->members.erase(entry);
+        this->lanes.push_back({name, 0, {}, {}});
     }
 }
 
@@ -136,7 +96,7 @@
             this->finish(call, result);
         }
     };
-    if (name == this->self)
+    if (name == this->members.self())
     {
         this->local.ask(step, workers, ended);
         return;
@@ -157,11 +117,11 @@
     ended.done(result);
 }
 
-void advice_broker::fail_calls(std::string const& member)
+void advice_broker::on_member_gone(std::string const& name)
 {
     for (auto const& [call, open] : this->calls)
     {
-        if (open.member != member)
+        if (open.member != name)
         {
             continue;
         }
@@ -174,6 +134,8 @@
                 }
             });
     }
+    std::erase_if(this->lanes,
+        [&name](advice_lane const& lane) { return lane.name == name; });
 }
 
 void advice_broker::free_lane(std::string const& name, bool answered)
@@ -196,16 +158,16 @@
 void advice_broker::forward(std::string const& name,
     advice_request const& request, microseconds duration, callback done)
 {
-    member& entry = this->members.at(name);
-    if (!entry.link->connected())
+    rpc_client* link = this->members.find(name);
+    if (link == nullptr)
     {
         this->loop.post([done = std::move(done)] { done(advice_result{}); });
         return;
     }
     milliseconds timeout =
         std::chrono::duration_cast<milliseconds>(duration * 2) + answer_margin;
-    entry.link->request(message_type::advice_request, pack(request), timeout,
-        [done = std::move(done), address = entry.address](
+    link->request(message_type::advice_request, pack(request), timeout,
+        [done = std::move(done), address = link->address()](
             rpc_result const& result)
         {
             try
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds hello_period{500};
 /// A question to the active scheduler; the store is asked when it fails.
 constexpr milliseconds query_timeout{600};
+/// Between two questions to the store: one of them costs as many calls as
+/// there are instances, and the store's calls are limited.
+constexpr milliseconds stored_lookup_gap{500};
 constexpr milliseconds tell_timeout{1000};
 constexpr milliseconds cancel_commit_timeout{1000};
 
@@ -26,6 +29,7 @@
     : parts(std::move(parts))
     , settings(settings)
     , acceptor(this->parts.loop, this->parts.store, settings.name)
+    , relay(this->parts.loop, this->parts.orders)
 {
     event_loop& loop = this->parts.loop;
     this->server = std::make_unique<rpc_server>(loop, settings.peer_address,
@@ -50,11 +54,15 @@
 void cell_node::on_elected(holder_proof const& proof)
 {
     this->leader.reset();
+    event_loop& loop = this->parts.loop;
+    this->members = std::make_unique<member_links>(loop, this->settings.name);
     this->broker = std::make_unique<advice_broker>(
-        this->parts.loop, this->parts.advice, this->settings.name);
-    dispatcher_parts scheduling{this->parts.loop, this->parts.store,
-        this->parts.orders, *this->broker, this->parts.queues,
-        this->parts.worker_table, this->parts.decode_worker,
+        loop, this->parts.advice, *this->members);
+    this->orders = std::make_unique<relayed_orders>(
+        loop, this->parts.orders, *this->members);
+    dispatcher_parts scheduling{loop, this->parts.store, *this->orders,
+        *this->broker, this->parts.queues, this->parts.worker_table,
+        this->parts.decode_worker,
         [this] { return this->election->may_start_work(); },
         leadership::permission,
         [this] { return this->election->lease_limit(); },
@@ -77,7 +85,9 @@
 void cell_node::on_deposed(std::string const&)
 {
     this->scheduler.reset();
+    this->orders.reset();
     this->broker.reset();
+    this->members.reset();
 }
 
 void cell_node::on_leader(std::optional<leader_row> const& found)
@@ -205,44 +215,60 @@
 
 void cell_node::look_up(
     std::string const& job, std::function<void(lookup_result)> done)
+{
+    this->ask_leader(
+        job, done, [this, job, done] { this->look_up_sparingly(job, done); });
+}
+
+void cell_node::ask_leader(std::string const& job,
+    std::function<void(lookup_result)> done,
+    std::function<void()> without_leader)
 {
     if (this->scheduler)
     {
-        auto state = this->scheduler->state_of(job);
-        if (state)
-        {
-            done({lookup_outcome::found, *state});
-            return;
-        }
+        done(this->scheduler->look_up(job));
+        return;
     }
     if (!this->leader || !this->leader->connected())
     {
-        this->look_up_stored(job, std::move(done));
+        without_leader();
         return;
     }
     this->leader->request(message_type::work_query, pack(work_query{job}),
         query_timeout,
-        [this, job, done = std::move(done), alive = this->alive](
-            rpc_result const& result)
+        [done = std::move(done), alive = this->alive](rpc_result const& result)
         {
             if (!*alive)
             {
                 return;
             }
+            lookup_result found;
             if (!result.problem && result.reply &&
                 result.reply->type == message_type::work_reply)
             {
                 auto reply = unpack<work_reply>(result.reply->body, "leader");
-                if (reply.known)
-                {
-                    done({lookup_outcome::found, reply.state});
-                    return;
-                }
+                found.state = reply.state;
+                found.outcome = reply.known    ? lookup_outcome::found
+                                : reply.absent ? lookup_outcome::no_such_job
+                                               : lookup_outcome::unavailable;
             }
-            this->look_up_stored(job, done);
+            done(found);
         });
 }
 
+void cell_node::look_up_sparingly(
+    std::string const& job, std::function<void(lookup_result)> done)
+{
+    time_point now = this->parts.loop.now();
+    if (now < this->next_stored_lookup)
+    {
+        done({});
+        return;
+    }
+    this->next_stored_lookup = now + stored_lookup_gap;
+    this->look_up_stored(job, std::move(done));
+}
+
 void cell_node::look_up_stored(
     std::string const& job, std::function<void(lookup_result)> done)
 {
@@ -317,19 +343,21 @@
 void cell_node::cancel(
     std::string const& job, std::function<void(lookup_result)> done)
 {
-    this->look_up(job,
-        [this, job, done = std::move(done), alive = this->alive](
-            lookup_result const& found)
+    auto decide = [this, job, done = std::move(done), alive = this->alive](
+                      lookup_result const& found)
+    {
+        bool ended = found.state == work_state::succeeded ||
+                     found.state == work_state::failed;
+        if (!*alive || found.outcome != lookup_outcome::found || ended)
         {
-            bool ended = found.state == work_state::succeeded ||
-                         found.state == work_state::failed;
-            if (!*alive || found.outcome != lookup_outcome::found || ended)
-            {
-                done(found);
-                return;
-            }
-            this->store_cancellation(job, done);
-        });
+            done(found);
+            return;
+        }
+        this->store_cancellation(job, done);
+    };
+    // A cancellation is worth its calls: few come, and they must be answered.
+    this->ask_leader(job, decide,
+        [this, job, decide] { this->look_up_stored(job, decide); });
 }
 
 void cell_node::store_cancellation(
@@ -403,6 +431,10 @@
             unpack<advice_request>(request.body, peer), std::move(respond));
         return;
     }
+    if (this->relay.take(request, peer, respond))
+    {
+        return;
+    }
     if (!this->scheduler)
     {
         throw error(error_code::unavailable,
@@ -412,7 +444,7 @@
     switch (request.type)
     {
     case message_type::member_hello:
-        this->broker->hear(unpack<member_hello>(request.body, peer));
+        this->members->hear(unpack<member_hello>(request.body, peer));
         respond(message_type::ack, {});
         return;
     case message_type::work_accepted:
@@ -443,11 +475,11 @@
         return;
     case message_type::work_query:
     {
-        auto state = this->scheduler->state_of(
+        lookup_result found = this->scheduler->look_up(
             unpack<work_query>(request.body, peer).job);
-        respond(
-            message_type::work_reply, pack(work_reply{state.has_value(),
-                                          state.value_or(work_state::queued)}));
+        respond(message_type::work_reply,
+            pack(work_reply{found.outcome == lookup_outcome::found, found.state,
+                found.outcome == lookup_outcome::no_such_job}));
         return;
     }
     case message_type::queue_query:
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -12,6 +12,10 @@
 {
 
 constexpr milliseconds sweep_period{250};
+/// A job that is unknown here, although all that was stored until so long ago
+/// has been read, does not exist: the platform lets a new job be invisible
+/// for 3 s.
+constexpr milliseconds absence_known{2000};
 
 } // namespace
 
@@ -154,15 +158,23 @@
     }
 }
 
-std::optional<work_state> dispatcher::state_of(std::string const& job)
+lookup_result dispatcher::look_up(std::string const& job)
 {
+    if (!this->loaded)
+    {
+        return {};
+    }
     board_job const* found = this->state.board.find(job);
-    if (found == nullptr || !this->loaded)
+    if (found != nullptr)
     {
-        return std::nullopt;
+        // An end that a successor could not see has not happened yet.
+        return {lookup_outcome::found,
+            found->durable ? found->state : work_state::running};
     }
-    // An end that a successor could not see has not happened yet.
-    return found->durable ? found->state : work_state::running;
+    auto age = this->state.parts.loop.now() - this->job_follower->fresh_at();
+    return {age < absence_known ? lookup_outcome::no_such_job
+                                : lookup_outcome::unavailable,
+        {}};
 }
 
 std::uint64_t dispatcher::waiting_jobs(std::string const& queue) const
--- /dev/null
+++ b/src/cell/member_links.cpp
@@ -0,0 +1,94 @@
+#include "toucanlever/cell/member_links.hpp"
+
+#include "toucanlever/core/log.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+/// Instances say hello twice a second.
+constexpr milliseconds unheard_after{1600};
+constexpr milliseconds sweep_period{500};
+
+} // namespace
+
+member_links::member_links(event_loop& loop, std::string self)
+    : loop(loop)
+    , own_name(std::move(self))
+{
+    this->sweep =
+        this->loop.every(sweep_period, [this] { this->drop_unheard(); });
+}
+
+member_links::~member_links()
+{
+    this->loop.cancel(this->sweep);
+}
+
+void member_links::listen(member_listener& listener)
+{
+    this->listeners.push_back(&listener);
+}
+
+void member_links::hear(member_hello const& hello)
+{
+    if (hello.name == this->own_name)
+    {
+        return;
+    }
+    auto [place, inserted] = this->members.try_emplace(hello.name);
+    member& entry = place->second;
+    entry.heard = this->loop.now();
+    if (entry.link && entry.link->address() == hello.address)
+    {
+        return;
+    }
+    if (!inserted)
+    {
+        this->tell_gone(hello.name);
+    }
+    entry.link =
+        std::make_unique<rpc_client>(this->loop, hello.address, rpc_timing{});
+    log_line("member-joined")
+        .with("member", hello.name)
+        .with("address", hello.address);
+    for (member_listener* listener : this->listeners)
+    {
+        listener->on_member_joined(hello.name);
+    }
+}
+
+rpc_client* member_links::find(std::string const& name) const
+{
+    auto found = this->members.find(name);
+    bool usable =
+        found != this->members.end() && found->second.link->connected();
+    return usable ? found->second.link.get() : nullptr;
+}
+
+void member_links::drop_unheard()
+{
+    time_point now = this->loop.now();
+    for (auto entry = this->members.begin(); entry != this->members.end();)
+    {
+        if (now - entry->second.heard < unheard_after)
+        {
+            ++entry;
+            continue;
+        }
+        log_line("member-unheard").with("member", entry->first);
+        this->tell_gone(entry->first);
+        entry = this->members.erase(entry);
+    }
+}
+
+void member_links::tell_gone(std::string const& name)
+{
+    for (member_listener* listener : this->listeners)
+    {
+        listener->on_member_gone(name);
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/order_relay.cpp
@@ -0,0 +1,93 @@
+#include "toucanlever/cell/order_relay.hpp"
+
+#include "toucanlever/cell/cell_messages.hpp"
+#include "toucanlever/core/log.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+constexpr milliseconds tick_period{100};
+/// A machine that is merely busy comes round sooner.
+constexpr milliseconds longest_gap{1000};
+/// Enough to read what the sockets held.
+constexpr milliseconds catch_up{200};
+
+} // namespace
+
+order_relay::order_relay(event_loop& loop, worker_orders& workers)
+    : loop(loop)
+    , workers(workers)
+    , last_tick(loop.now())
+{
+    this->timer = loop.every(tick_period, [this] { this->tick(); });
+}
+
+order_relay::~order_relay()
+{
+    this->loop.cancel(this->timer);
+}
+
+void order_relay::tick()
+{
+    time_point now = this->loop.now();
+    if (now - this->last_tick > longest_gap)
+    {
+        auto gap =
+            std::chrono::duration_cast<milliseconds>(now - this->last_tick);
+        log_line("stood-still").with("for_ms", gap.count());
+        this->refuse_until = now + catch_up;
+    }
+    this->last_tick = now;
+}
+
+void order_relay::check_age()
+{
+    // Sockets may be read before the timer is.
+    this->tick();
+    if (this->loop.now() < this->refuse_until)
+    {
+        throw error(error_code::unavailable, "this instance stood still",
+            "relay-order", {}, run_state::no);
+    }
+}
+
+bool order_relay::take(
+    frame const& request, std::string const& peer, rpc_responder respond)
+{
+    switch (request.type)
+    {
+    case message_type::relayed_start:
+    {
+        this->check_age();
+        auto message = unpack<relayed_start>(request.body, peer);
+        this->workers.start(message.worker, message.order,
+            [respond = std::move(respond)](order_result const& result)
+            { respond(message_type::order_reply, pack(result)); });
+        return true;
+    }
+    case message_type::relayed_stop:
+    {
+        this->check_age();
+        auto message = unpack<relayed_stop>(request.body, peer);
+        this->workers.stop(message.worker, message.order,
+            [respond = std::move(respond)](order_result const& result)
+            { respond(message_type::order_reply, pack(result)); });
+        return true;
+    }
+    case message_type::relayed_watch:
+    {
+        this->check_age();
+        auto message = unpack<relayed_watch>(request.body, peer);
+        this->workers.watch(message.worker, message.order,
+            [respond = std::move(respond)](watch_result const& result)
+            { respond(message_type::watch_reply, pack(result)); });
+        return true;
+    }
+    default:
+        return false;
+    }
+}
+
+} // namespace toucanlever
--- /dev/null
+++ b/src/cell/relayed_orders.cpp
@@ -0,0 +1,167 @@
+#include "toucanlever/cell/relayed_orders.hpp"
+
+#include "toucanlever/core/ids.hpp"
+#include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+/// The other instance gives a worker's answer up after 400 ms itself.
+constexpr milliseconds order_timeout{700};
+/// Beyond the wait that was asked for; the other instance adds 600 ms.
+constexpr milliseconds watch_margin{1000};
+/// Longer than a silent link takes to be noticed (two heartbeats, 1 s).
+constexpr milliseconds rest_time{2000};
+
+} // namespace
+
+relayed_orders::relayed_orders(
+    event_loop& loop, worker_orders& local, member_links& members)
+    : loop(loop)
+    , local(local)
+    , members(members)
+{
+    members.listen(*this);
+}
+
+relayed_orders::~relayed_orders()
+{
+    *this->alive = false;
+}
+
+void relayed_orders::on_member_joined(std::string const& name)
+{
+    this->names.push_back(name);
+    this->choices.clear();
+}
+
+void relayed_orders::on_member_gone(std::string const& name)
+{
+    std::erase(this->names, name);
+    this->choices.clear();
+}
+
+std::string const& relayed_orders::choose(std::string const& worker)
+{
+    auto known = this->choices.find(worker);
+    if (known != this->choices.end())
+    {
+        return known->second;
+    }
+    time_point now = this->loop.now();
+    std::vector<std::string> candidates{this->members.self()};
+    for (std::string const& name : this->names)
+    {
+        auto rest = this->resting.find(name);
+        if (rest == this->resting.end() || now >= rest->second)
+        {
+            candidates.push_back(name);
+        }
+    }
+    std::string picked = rendezvous_pick(worker, candidates);
+    if (picked == this->members.self())
+    {
+        picked.clear();
+    }
+    return this->choices.emplace(worker, std::move(picked)).first->second;
+}
+
+void relayed_orders::rest(std::string const& name)
+{
+    time_point until = this->loop.now() + rest_time;
+    bool fresh = this->resting[name] < this->loop.now();
+    this->resting[name] = until;
+    if (!fresh)
+    {
+        return;
+    }
+    this->choices.clear();
+    this->loop.after(rest_time + milliseconds(1),
+        [this, alive = this->alive]
+        {
+            if (*alive)
+            {
+                this->choices.clear();
+            }
+        });
+}
+
+template <typename Result>
+void relayed_orders::pass_on(std::string const& worker, message_type type,
+    message_type reply_type, std::string body, milliseconds timeout,
+    std::function<void(Result)> done, std::function<void()> from_here)
+{
+    std::string const member = this->choose(worker);
+    rpc_client* link = member.empty() ? nullptr : this->members.find(member);
+    if (link == nullptr)
+    {
+        from_here();
+        return;
+    }
+    metrics().count("orders_relayed");
+    link->request(type, std::move(body), timeout,
+        [this, member, worker, reply_type, done = std::move(done),
+            from_here = std::move(from_here),
+            alive = this->alive](rpc_result const& result)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            Result answer;
+            try
+            {
+                answer = result.as<Result>(reply_type, member);
+            }
+            catch (error const& problem)
+            {
+                log_line("relay-failed")
+                    .with("member", member)
+                    .with("worker", worker)
+                    .with("ran", name_of(problem.ran))
+                    .with("problem", problem.what());
+                this->rest(member);
+                if (problem.ran == run_state::no)
+                {
+                    from_here();
+                    return;
+                }
+                answer.problem = "relay " + member + ": " + problem.what();
+            }
+            done(std::move(answer));
+        });
+}
+
+void relayed_orders::start(
+    worker_target const& worker, start_order const& order, order_callback done)
+{
+    this->pass_on<order_result>(worker.id, message_type::relayed_start,
+        message_type::order_reply, pack(relayed_start{worker, order}),
+        order_timeout, done,
+        [this, worker, order, done]
+        { this->local.start(worker, order, done); });
+}
+
+void relayed_orders::stop(
+    worker_target const& worker, stop_order const& order, order_callback done)
+{
+    this->pass_on<order_result>(worker.id, message_type::relayed_stop,
+        message_type::order_reply, pack(relayed_stop{worker, order}),
+        order_timeout, done,
+        [this, worker, order, done] { this->local.stop(worker, order, done); });
+}
+
+void relayed_orders::watch(
+    worker_target const& worker, watch_order const& order, watch_callback done)
+{
+    this->pass_on<watch_result>(worker.id, message_type::relayed_watch,
+        message_type::watch_reply, pack(relayed_watch{worker, order}),
+        milliseconds(order.wait_ms) + watch_margin, done,
+        [this, worker, order, done]
+        { this->local.watch(worker, order, done); });
+}
+
+} // namespace toucanlever
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -75,10 +75,20 @@
             return;
         }
         this->pending += encode_frame(message);
+        if (this->phase == link_phase::open)
+        {
+            this->flush_soon();
+        }
+    }
+
+    /// Sends what waits; for a link that its owner closes.
+    void finish()
+    {
         if (this->phase == link_phase::open)
         {
             this->flush();
         }
+        this->shut();
     }
 
     int handle_output(ACE_HANDLE) override
@@ -159,6 +169,28 @@
         return this->phase == link_phase::open;
     }
 
+    /// Frames of one round of the loop leave in one call of the system.
+    void flush_soon()
+    {
+        if (this->flush_scheduled)
+        {
+            return;
+        }
+        this->flush_scheduled = true;
+        this->loop.after(microseconds(0),
+            [owner = this->owner]
+            {
+                if (auto self = owner.lock())
+                {
+                    self->pimpl->flush_scheduled = false;
+                    if (self->pimpl->phase == link_phase::open)
+                    {
+                        self->pimpl->flush();
+                    }
+                }
+            });
+    }
+
     void flush()
     {
         while (!this->pending.empty())
@@ -229,6 +261,7 @@
     // Invariant: whole or partly sent frames, in sending order.
     std::string pending;
     frame_decoder decoder;
+    bool flush_scheduled = false;
 };
 
 link::link(std::unique_ptr<impl> body)
@@ -289,7 +322,7 @@
 
 void link::close()
 {
-    this->pimpl->shut();
+    this->pimpl->finish();
 }
 
 std::string const& link::peer() const
--- a/tests/unit/advice_broker.tests.cpp
+++ b/tests/unit/advice_broker.tests.cpp
@@ -106,7 +106,8 @@
     std::string const address = own_ip(3) + ":7500";
     rpc_server server(loop, address, silent, rpc_timing{});
     no_advice local;
-    advice_broker broker(loop, local, "self");
+    member_links members(loop, "self");
+    advice_broker broker(loop, local, members);
     auto pass = [&](milliseconds span)
     {
         constexpr milliseconds step{20};
@@ -116,8 +117,8 @@
             loop.run_ready();
         }
     };
-    broker.hear({"one", address});
-    broker.hear({"two", address});
+    members.hear({"one", address});
+    members.hear({"two", address});
     pass(milliseconds(400));
     int answers = 0;
     // The link alone would give it up after 5.5 s.
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -71,15 +71,18 @@
         this->store.set({"workers-listed", "", id}, pack(entry));
     }
 
-    /// Another instance becomes the active scheduler. The one before it, if
-    /// any, is kept but hears nothing of it.
+    /// Another instance becomes the active scheduler; the one before it, if
+    /// any, ends without a word.
     dispatcher& begin_term()
     {
         ++this->fence;
         std::int64_t version = this->store.set(
             tables::holder_row(), "holder-" + std::to_string(this->fence));
-        this->broker =
-            std::make_unique<advice_broker>(this->loop, this->advice, "self");
+        this->term.reset();
+        this->broker.reset();
+        this->members = std::make_unique<member_links>(this->loop, "self");
+        this->broker = std::make_unique<advice_broker>(
+            this->loop, this->advice, *this->members);
         dispatcher_parts parts{this->loop, this->store, this->workers,
             *this->broker, this->queues, "workers-listed",
             [](std::string const&, std::string const& value)
@@ -95,6 +98,15 @@
 
     void end_term() { this->term.reset(); }
 
+    /// Where a job stands; nothing when the scheduler does not know it.
+    std::optional<work_state> state_of(std::string const& job)
+    {
+        lookup_result found = this->term->look_up(job);
+        return found.outcome == lookup_outcome::found
+                   ? std::optional(found.state)
+                   : std::nullopt;
+    }
+
     void pass(milliseconds span)
     {
         constexpr milliseconds step{10};
@@ -147,6 +159,7 @@
 
     manual_clock time;
     event_loop loop{this->time};
+    std::unique_ptr<member_links> members;
     fake_record_store store{this->loop};
     fake_workers workers{this->loop};
     fake_advice advice;
@@ -169,15 +182,15 @@
     bench.submit("a", 2);
     bench.pass(second);
     cr_assert(bench.workers.running() == 2U);
-    cr_assert(bench.term->state_of("a") == work_state::running);
+    cr_assert(bench.state_of("a") == work_state::running);
     bench.store.away = true;
     bench.workers.end_all(run_end::succeeded);
     bench.pass(2 * second);
     // A successor could not know it.
-    cr_assert(bench.term->state_of("a") == work_state::running);
+    cr_assert(bench.state_of("a") == work_state::running);
     bench.store.away = false;
     bench.pass(2 * second);
-    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+    cr_assert(bench.state_of("a") == work_state::succeeded);
 }
 
 Test(dispatcher, never_passes_the_capacity_of_workers)
@@ -205,7 +218,7 @@
     bench.pass(second);
     bench.workers.end_all(run_end::succeeded);
     bench.pass(second);
-    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+    cr_assert(bench.state_of("a") == work_state::succeeded);
     cr_assert(bench.workers.all_starts.size() == 3U);
 }
 
@@ -222,7 +235,7 @@
     cr_assert(bench.starts_of(first_task) == 1U);
     bench.workers.workers[place].silent = false;
     bench.pass(second);
-    cr_assert(bench.term->state_of("a") == work_state::succeeded);
+    cr_assert(bench.state_of("a") == work_state::succeeded);
     cr_assert(bench.starts_of(first_task) == 1U);
 }
 
@@ -312,7 +325,7 @@
     }
     bench.pass(second);
     cr_assert(bench.workers.all_starts.size() == 3U);
-    cr_assert(bench.term->state_of("a") == work_state::failed);
+    cr_assert(bench.state_of("a") == work_state::failed);
 }
 
 Test(dispatcher, a_gang_whose_member_ends_is_stopped_and_started_anew)
@@ -341,8 +354,8 @@
     bench.submit("b", 2);
     bench.pass(second);
     cr_assert(bench.workers.running() == 0U);
-    cr_assert(bench.term->state_of("a") == work_state::cancelled);
-    cr_assert(bench.term->state_of("b") == work_state::cancelled);
+    cr_assert(bench.state_of("a") == work_state::cancelled);
+    cr_assert(bench.state_of("b") == work_state::cancelled);
 }
 
 Test(dispatcher, a_replaced_scheduler_is_told_by_any_worker)
@@ -454,5 +467,5 @@
     bench.pass(second);
     cr_assert(worker.acknowledged == worker.last_number);
     cr_assert_not(worker.running.contains(beyond));
-    cr_assert(bench.term->state_of("a") == work_state::running);
+    cr_assert(bench.state_of("a") == work_state::running);
 }
--- /dev/null
+++ b/tests/unit/relayed_orders.tests.cpp
@@ -0,0 +1,190 @@
+/// Orders that go through another instance, over real links on loopback.
+#include "toucanlever/cell/relayed_orders.hpp"
+
+#include "toucanlever/cell/order_relay.hpp"
+
+#include "fake_workers.hpp"
+#include "loopback.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+constexpr milliseconds link_time{400};
+
+/// An instance that passes orders on, or swallows them.
+class relaying_instance final : public rpc_handler
+{
+public:
+    relaying_instance(event_loop& loop, worker_orders& workers)
+        : relay(loop, workers)
+    {
+    }
+
+    void on_request(frame const& request, std::string const& peer,
+        rpc_responder respond) override
+    {
+        ++this->requests;
+        if (!this->swallow)
+        {
+            this->relay.take(request, peer, std::move(respond));
+        }
+    }
+
+    order_relay relay;
+    int requests = 0;
+    bool swallow = false;
+};
+
+/// An active scheduler's orders, and one other instance to pass them on.
+class relay_bench
+{
+public:
+    relay_bench()
+    {
+        this->members.hear({"other", this->address});
+        this->pass(link_time);
+    }
+
+    void pass(milliseconds span)
+    {
+        constexpr milliseconds step{20};
+        for (milliseconds done{0}; done < span; done += step)
+        {
+            this->time.advance(step);
+            this->members.hear({"other", this->address});
+            this->loop.run_ready();
+        }
+    }
+
+    /// Starts task 0 of job "a" on a worker.
+    void start(std::string const& worker)
+    {
+        start_order order;
+        order.task = {{"a", 0, 0}, 0};
+        order.run = 1;
+        order.fence = 7;
+        order.payload = "payload";
+        this->orders.start({worker, worker}, order,
+            [this](order_result const& result)
+            { this->outcomes.push_back(result.outcome); });
+    }
+
+    /// A worker whose orders go through the other instance.
+    std::string relayed_worker()
+    {
+        for (int i = 0;; ++i)
+        {
+            std::string worker = "w" + std::to_string(i);
+            int before = this->other.requests;
+            this->orders.stop({worker, worker}, {}, [](order_result const&) {});
+            this->pass(milliseconds(60));
+            if (this->other.requests > before)
+            {
+                return worker;
+            }
+        }
+    }
+
+    manual_clock time;
+    event_loop loop{this->time};
+    fake_workers near{this->loop};
+    fake_workers far{this->loop};
+    std::string address = own_ip(4) + ":7500";
+    relaying_instance other{this->loop, this->far};
+    rpc_server server{this->loop, this->address, this->other, rpc_timing{}};
+    member_links members{this->loop, "self"};
+    relayed_orders orders{this->loop, this->near, this->members};
+    std::vector<order_outcome> outcomes;
+};
+
+} // namespace
+
+Test(relayed_orders, workers_are_shared_among_the_instances)
+{
+    relay_bench bench;
+    constexpr int workers = 40;
+    for (int i = 0; i < workers; ++i)
+    {
+        bench.start("w" + std::to_string(i));
+    }
+    bench.pass(milliseconds(100));
+    cr_assert(bench.outcomes.size() == std::size_t{workers});
+    cr_assert(bench.near.running() > 10U);
+    cr_assert(bench.far.running() > 10U);
+    cr_assert(bench.near.running() + bench.far.running() == 40U);
+}
+
+Test(relayed_orders, an_order_arrives_as_it_was_given)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.start(worker);
+    bench.pass(milliseconds(100));
+    cr_assert(bench.outcomes.size() == 1U);
+    cr_assert(bench.outcomes.front() == order_outcome::done);
+    start_order const& seen = bench.far.workers.at(worker).starts.front();
+    cr_assert(seen.run == 1U);
+    cr_assert(seen.fence == 7U);
+    cr_assert(seen.payload == "payload");
+}
+
+Test(relayed_orders, a_report_comes_back_whole)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.start(worker);
+    bench.pass(milliseconds(60));
+    bench.far.end(worker, {{"a", 0, 0}, 0}, run_end::failed);
+    watch_result report;
+    bench.orders.watch({worker, worker}, {7, 0, 0, 0},
+        [&report](watch_result const& result) { report = result; });
+    bench.pass(milliseconds(60));
+    cr_assert(report.outcome == order_outcome::done);
+    cr_assert(report.ended.size() == 1U);
+    cr_assert(report.ended.front().how == run_end::failed);
+    cr_assert(report.started_ms == 1);
+}
+
+Test(relayed_orders, what_an_instance_swallows_is_in_doubt_and_goes_round_it)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.other.swallow = true;
+    bench.start(worker);
+    bench.pass(milliseconds(1200));
+    cr_assert(bench.outcomes.size() == 1U);
+    cr_assert(bench.outcomes.front() == order_outcome::in_doubt);
+    bench.start(worker);
+    bench.pass(milliseconds(100));
+    cr_assert(bench.outcomes.back() == order_outcome::done);
+    cr_assert(bench.near.workers.at(worker).starts.size() == 1U);
+}
+
+Test(relayed_orders, an_instance_without_a_link_is_passed_over_at_once)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    // Heard of, and never reached.
+    bench.members.hear({"other", own_ip(5) + ":7500"});
+    bench.start(worker);
+    cr_assert(bench.outcomes.size() == 1U);
+    cr_assert(bench.outcomes.front() == order_outcome::done);
+}
+
+Test(order_relay, what_waited_while_the_instance_stood_still_is_refused)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.start(worker);
+    // Everything stands still, with the order on its way.
+    bench.time.advance(milliseconds(3000));
+    bench.loop.run_ready();
+    bench.pass(milliseconds(100));
+    cr_assert(bench.far.running() == 0U);
+    cr_assert(bench.outcomes.size() == 1U);
+}
