--- a/include/toucanlever/cell/step_placement.hpp
+++ b/include/toucanlever/cell/step_placement.hpp
@@ -26,7 +26,7 @@
     bool all_or_none = false;
     bool prefers_one_rack = false;
     /// Most tasks of the step on one worker, those in `placed` counted; 0 for
-    /// no limit.
+    /// no limit, and `placed` is not read then.
     std::uint32_t max_per_worker = 0;
     std::map<std::string, std::uint32_t> placed;
     std::string service;
@@ -37,8 +37,15 @@
     std::function<bool(pool_worker const&)> allowed;
 };
 
+/// Workers among which to choose.
+using worker_choice = std::vector<pool_worker const*>;
+
 /// A worker for each task that was placed, in the order of the tasks; fewer
 /// than asked for when there is no room for the others.
+std::vector<std::string> place_step(worker_choice const& workers,
+    placement_request const& request, time_point now);
+
+/// The same among all workers of a pool.
 std::vector<std::string> place_step(
     worker_pool const& pool, placement_request const& request, time_point now);
 
--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -37,6 +37,10 @@
     void plan_step(step_rank const& rank);
     placement_request make_request(
         board_job const& job, board_step const& step) const;
+    /// Whether the policy could be asked about more workers now.
+    bool can_ask(board_job const& job, board_step const& step) const;
+    /// The workers that may run the step, as far as is known.
+    worker_choice choice_for(board_step const& step, bool advised) const;
     bool can_get_tickets(board_job const& job, board_step const& step,
         std::vector<std::string> const& chosen);
     void keep_room(board_step const& step, placement_request const& request);
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -11,8 +11,8 @@
 struct candidate
 {
     pool_worker const* worker = nullptr;
-    resources free;
-    std::uint32_t allowance = 0;
+    /// How many of the tasks it can take.
+    std::uint32_t fitting = 0;
 };
 
 std::uint32_t allowance_on(
@@ -28,22 +28,35 @@
                                            : 0;
 }
 
-std::vector<candidate> find_candidates(
-    worker_pool const& pool, placement_request const& request, time_point now)
+std::uint32_t tasks_that_fit(
+    pool_worker const& worker, placement_request const& request)
 {
-    std::vector<candidate> found;
-    for (auto const& [id, worker] : pool.all())
+    std::uint32_t fitting = allowance_on(worker.entry, request);
+    for (std::size_t i = 0; i < resources::dimensions; ++i)
     {
-        if (!worker.usable(now) || !worker.free.fits(request.need) ||
-            !suits(worker.entry, request) ||
-            (request.allowed && !request.allowed(worker)))
+        if (request.need.at(i) > 0)
         {
-            continue;
+            auto whole = worker.free.at(i) / request.need.at(i);
+            fitting = static_cast<std::uint32_t>(std::min<std::int64_t>(
+                fitting, std::max<std::int64_t>(whole, 0)));
         }
-        std::uint32_t allowance = allowance_on(worker.entry, request);
-        if (allowance > 0)
+    }
+    return fitting;
+}
+
+std::vector<candidate> find_candidates(worker_choice const& workers,
+    placement_request const& request, time_point now)
+{
+    std::vector<candidate> found;
+    for (pool_worker const* worker : workers)
+    {
+        bool open = worker->free.fits(request.need) && worker->usable(now) &&
+                    suits(worker->entry, request) &&
+                    (!request.allowed || request.allowed(*worker));
+        std::uint32_t fitting = open ? tasks_that_fit(*worker, request) : 0;
+        if (fitting > 0)
         {
-            found.push_back({&worker, worker.free, allowance});
+            found.push_back({worker, fitting});
         }
     }
     return found;
@@ -58,44 +71,39 @@
     {
         bool far = !request.data_rack.empty() &&
                    one.worker->entry.rack != request.data_rack;
-        return std::tuple(one.worker->failures > 0, far, one.free.cpu_millis,
-            one.free.memory_bytes, std::string_view(one.worker->entry.id));
+        return std::tuple(one.worker->failures > 0, far,
+            one.worker->free.cpu_millis, one.worker->free.memory_bytes,
+            std::string_view(one.worker->entry.id));
     };
     return rank(left) < rank(right);
 }
 
-std::uint32_t tasks_that_fit(
-    candidate const& place, placement_request const& request)
+std::uint64_t total_fitting(std::vector<candidate> const& places)
 {
-    std::uint32_t fitting = place.allowance;
-    for (std::size_t i = 0; i < resources::dimensions; ++i)
+    std::uint64_t total = 0;
+    for (candidate const& place : places)
     {
-        if (request.need.at(i) > 0)
-        {
-            auto whole = place.free.at(i) / request.need.at(i);
-            fitting = static_cast<std::uint32_t>(
-                std::min<std::int64_t>(fitting, whole));
-        }
+        total += place.fitting;
     }
-    return fitting;
+    return total;
 }
 
+/// A heap, since a few places mostly take all tasks.
 std::vector<std::string> hand_out(
-    std::vector<candidate> const& places, placement_request const& request)
+    std::vector<candidate> places, placement_request const& request)
 {
+    auto later = [&request](candidate const& left, candidate const& right)
+    { return comes_before(request, right, left); };
+    std::make_heap(places.begin(), places.end(), later);
     std::vector<std::string> chosen;
-    for (candidate const& place : places)
+    while (!places.empty() && chosen.size() < request.tasks)
     {
-        std::uint32_t fitting = tasks_that_fit(place, request);
-        while (fitting > 0 && chosen.size() < request.tasks)
-        {
-            chosen.push_back(place.worker->entry.id);
-            --fitting;
-        }
-        if (chosen.size() == request.tasks)
-        {
-            break;
-        }
+        std::pop_heap(places.begin(), places.end(), later);
+        candidate const place = places.back();
+        places.pop_back();
+        auto count =
+            std::min<std::size_t>(place.fitting, request.tasks - chosen.size());
+        chosen.insert(chosen.end(), count, place.worker->entry.id);
     }
     return chosen;
 }
@@ -109,7 +117,7 @@
     for (candidate const& place : places)
     {
         racks[place.worker->entry.rack].push_back(place);
-        fitting[place.worker->entry.rack] += tasks_that_fit(place, request);
+        fitting[place.worker->entry.rack] += place.fitting;
     }
     std::string best;
     for (auto const& [rack, tasks] : fitting)
@@ -134,23 +142,31 @@
            worker.capacity.fits(request.need);
 }
 
-std::vector<std::string> place_step(
-    worker_pool const& pool, placement_request const& request, time_point now)
+std::vector<std::string> place_step(worker_choice const& workers,
+    placement_request const& request, time_point now)
 {
-    std::vector<candidate> places = find_candidates(pool, request, now);
-    std::sort(places.begin(), places.end(),
-        [&request](candidate const& left, candidate const& right)
-        { return comes_before(request, left, right); });
+    std::vector<candidate> places = find_candidates(workers, request, now);
+    if (request.all_or_none && total_fitting(places) < request.tasks)
+    {
+        return {};
+    }
     if (request.prefers_one_rack)
     {
         places = one_rack(places, request);
     }
-    std::vector<std::string> chosen = hand_out(places, request);
-    if (request.all_or_none && chosen.size() < request.tasks)
+    return hand_out(std::move(places), request);
+}
+
+std::vector<std::string> place_step(
+    worker_pool const& pool, placement_request const& request, time_point now)
+{
+    worker_choice workers;
+    workers.reserve(pool.all().size());
+    for (auto const& [id, worker] : pool.all())
     {
-        chosen.clear();
+        workers.push_back(&worker);
     }
-    return chosen;
+    return place_step(workers, request, now);
 }
 
 } // namespace toucanlever
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -138,6 +138,10 @@
         this->state.parts.queues.terms(job.record.queue.name);
     request.service =
         terms != nullptr ? terms->service : job.record.queue.service;
+    if (spec.max_per_worker == 0)
+    {
+        return request;
+    }
     for (board_task const& task : step.tasks)
     {
         if (!task.worker.empty())
@@ -148,6 +152,36 @@
     return request;
 }
 
+worker_choice step_planner::choice_for(
+    board_step const& step, bool advised) const
+{
+    worker_choice workers;
+    if (!advised)
+    {
+        workers.reserve(this->state.pool.all().size());
+        for (auto const& [id, worker] : this->state.pool.all())
+        {
+            workers.push_back(&worker);
+        }
+        return workers;
+    }
+    for (auto const& [id, ticket] : step.advice.approved)
+    {
+        if (pool_worker const* worker = this->state.pool.find(id))
+        {
+            workers.push_back(worker);
+        }
+    }
+    return workers;
+}
+
+bool step_planner::can_ask(board_job const& job, board_step const& step) const
+{
+    return !step.advice.pending &&
+           this->state.parts.loop.now() >= step.advice.ask_again_at &&
+           this->state.parts.advice.has_lane(decision_time(job, 1));
+}
+
 void step_planner::plan_step(step_rank const& rank)
 {
     board_step* step = this->state.board.find(rank.id);
@@ -163,16 +197,21 @@
         this->orders.stop_step(rank.id);
         return;
     }
-    placement_request request = this->make_request(*job, *step);
     bool advised = job->record.queue.advice.required;
-    request.allowed = [&](pool_worker const& worker)
+    bool may_ask = advised && this->can_ask(*job, *step);
+    if (advised && !may_ask && step->advice.approved.empty() &&
+        !step->spec->gang)
     {
-        return !this->is_kept(worker) &&
-               (!advised || step->advice.approved.contains(worker.entry.id));
-    };
+        // Nothing is known of where it may run, and nobody can be asked.
+        return;
+    }
+    placement_request request = this->make_request(*job, *step);
+    request.allowed = [this](pool_worker const& worker)
+    { return !this->is_kept(worker); };
     std::vector<std::string> chosen =
-        place_step(this->state.pool, request, this->state.parts.loop.now());
-    if (chosen.size() < request.tasks && advised)
+        place_step(this->choice_for(*step, advised), request,
+            this->state.parts.loop.now());
+    if (chosen.size() < request.tasks && may_ask)
     {
         this->ask_unasked(*job, *step, request);
     }
@@ -220,22 +259,21 @@
     for (auto& [id, worker] : this->state.pool.all())
     {
         bool fitting =
-            worker.usable(now) && suits(worker.entry, request) &&
-            !this->is_kept(worker) &&
+            !this->is_kept(worker) && worker.usable(now) &&
+            suits(worker.entry, request) &&
             (step.advice.asked.empty() || step.advice.approved.contains(id));
         if (fitting)
         {
-            freest.emplace_back(-worker.free.cpu_millis, &worker);
+            freest.emplace_back(worker.free.cpu_millis, &worker);
         }
     }
-    std::sort(freest.begin(), freest.end());
+    std::make_heap(freest.begin(), freest.end());
     std::int64_t tasks = 0;
-    for (auto const& [free, worker] : freest)
+    while (tasks < request.tasks && !freest.empty())
     {
-        if (tasks >= request.tasks)
-        {
-            return;
-        }
+        std::pop_heap(freest.begin(), freest.end());
+        pool_worker* worker = freest.back().second;
+        freest.pop_back();
         worker->kept_in_round = this->round;
         auto capacity = worker->entry.capacity.cpu_millis;
         tasks += request.need.cpu_millis > 0
@@ -285,32 +323,36 @@
 void step_planner::ask_unasked(
     board_job& job, board_step& step, placement_request const& request)
 {
-    board_advice& advice = step.advice;
-    if (advice.pending || this->state.parts.loop.now() < advice.ask_again_at)
-    {
-        return;
-    }
+    board_advice const& advice = step.advice;
     // Emptiest first, and for a few tasks not more than are likely to do.
     constexpr std::size_t spare = 6;
     constexpr std::size_t per_task = 3;
-    std::vector<std::pair<std::int64_t, std::string>> found;
+    std::vector<std::pair<std::int64_t, std::string const*>> found;
+    time_point now = this->state.parts.loop.now();
     for (auto const& [id, worker] : this->state.pool.all())
     {
-        if (worker.usable(this->state.parts.loop.now()) &&
-            suits(worker.entry, request) && !advice.asked.contains(id))
+        if (worker.usable(now) && suits(worker.entry, request) &&
+            !advice.asked.contains(id))
         {
-            found.emplace_back(-worker.free.cpu_millis, id);
+            found.emplace_back(-worker.free.cpu_millis, &id);
         }
     }
-    std::sort(found.begin(), found.end());
     std::size_t wanted = request.all_or_none && request.tasks > 3
                              ? placement_advice::max_workers
                              : per_task * request.tasks + spare;
     wanted = std::min({wanted, found.size(), placement_advice::max_workers});
+    auto first = [](auto const& left, auto const& right)
+    {
+        return std::tie(left.first, *left.second) <
+               std::tie(right.first, *right.second);
+    };
+    std::partial_sort(found.begin(),
+        found.begin() + static_cast<std::ptrdiff_t>(wanted), found.end(),
+        first);
     std::vector<std::string> workers;
     for (std::size_t i = 0; i < wanted; ++i)
     {
-        workers.push_back(found[i].second);
+        workers.push_back(*found[i].second);
     }
     if (workers.empty())
     {
