Steps whose jobs can still be in time go first

Cause: ready steps went by priority, then latest start.

Ruled out: room that stands empty (the sites ask for 89% of it before trouble).

Change: order_steps (pure) takes what can be in time first, then what can only be late, then what its caller has no use for (three times the objective); priority and latest start decide within each.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "toucanlever/cell/reserved_starts.hpp"
+#include "toucanlever/cell/step_order.hpp"
 #include "toucanlever/cell/step_placement.hpp"
 
 #include <memory>
--- a/include/toucanlever/cell/work_board.hpp
+++ b/include/toucanlever/cell/work_board.hpp
@@ -109,6 +109,8 @@
     std::int64_t priority = 0;
     std::int64_t latest_start_ms = 0;
     step_id id;
+    /// A job that starts later than this is of no use to its caller.
+    std::int64_t useless_start_ms = 0;
 
     bool operator<(step_rank const& other) const
     {
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -79,15 +79,8 @@
     {
         return;
     }
-    std::vector<step_rank> ranks;
-    for (step_rank const& rank : this->state.board.ready())
-    {
-        if (ranks.size() == max_steps_per_plan)
-        {
-            break;
-        }
-        ranks.push_back(rank);
-    }
+    std::vector<step_rank> const ranks = order_steps(
+        this->state.board.ready(), wall_time_ms(), max_steps_per_plan);
     // Room that steps of higher rank wait for is kept for the round.
     ++this->round;
     resources const most = this->most_free();
--- a/src/cell/work_board.cpp
+++ b/src/cell/work_board.cpp
@@ -39,6 +39,9 @@
 }
 
 constexpr std::int64_t permille = 1000;
+/// A job is worth something up to three times its objective (the platform's
+/// rule).
+constexpr std::int64_t late_factor = 3;
 
 } // namespace
 
@@ -156,8 +159,9 @@
     std::int64_t objective =
         job.record.queue.target_ms +
         whole_chain_ms(job.record) * job.record.queue.slack_permille / permille;
-    return {job.record.queue.priority,
-        due + objective - chain_ms(job.record, step.id.step), step.id};
+    std::int64_t left = chain_ms(job.record, step.id.step);
+    return {job.record.queue.priority, due + objective - left, step.id,
+        due + objective * late_factor - left};
 }
 
 bool work_board::is_ready(board_job const& job, board_step const& step) const
