Waiting gangs keep room on a quarter of the workers

Cause: each gang that waited kept the workers that it needed from all that came after it, and each step without a ticket those that it had chosen. Of the external policy's lanes long calls had half, and used all of them (1,364 s of calls in 75 s), while short ones need 1.6 of 35.

Ruled out: the policy's answers (asked about more workers, the same waits).

Change: room is kept on a quarter of the workers, and for one step more, so that the first of the waiting steps can have all it needs; long calls leave a quarter of the lanes to short ones.

--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -2,10 +2,10 @@
 /// answers one call at a time for each of them.
 ///
 /// Answers the load of queues whose calls take half a second beside queues
-/// whose calls take some milliseconds: long calls keep to half of the
-/// instances, so that short ones never wait behind them. Nothing is queued: a
-/// call that no instance can begin is refused, so that whoever decides what is
-/// asked next decides when there is a lane for it.
+/// whose calls take some milliseconds: long calls leave a quarter of the
+/// instances to short ones, so that these never wait behind them. Nothing is
+/// queued: a call that no instance can begin is refused, so that whoever
+/// decides what is asked next decides when there is a lane for it.
 #pragma once
 
 #include "toucanlever/cell/member_links.hpp"
--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -44,7 +44,13 @@
     worker_choice choice_for(board_step const& step, bool advised) const;
     bool can_get_tickets(board_job const& job, board_step const& step,
         std::vector<std::string> const& chosen);
+    /// Keeps workers that a gang waits for from what comes after it.
     void keep_room(board_step const& step, placement_request const& request);
+    /// The same for workers that were chosen and have no ticket yet.
+    void keep_chosen(std::vector<std::string> const& chosen);
+    void keep(pool_worker& worker);
+    /// Whether room may be kept for another step in this round.
+    bool may_keep() const;
     bool is_kept(pool_worker const& worker) const
     {
         return worker.kept_in_round == this->round;
@@ -65,6 +71,8 @@
     bool planned = false;
     // Counts the looks at all ready steps.
     std::uint64_t round = 0;
+    // Workers of which room is kept in this round.
+    std::size_t kept_workers = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/advice_broker.cpp
+++ b/src/cell/advice_broker.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// Calls of at least this length keep to half of the lanes.
+/// Calls of at least this length leave one lane in so many to shorter ones.
 constexpr milliseconds long_call{150};
+constexpr std::size_t short_lanes = 4;
 /// A short call may be sent while the one before it takes this much longer,
 /// so that the policy does not wait for the way between instances.
 constexpr milliseconds pipelined{20};
@@ -26,7 +27,7 @@
     std::size_t usable = lanes.size();
     if (duration >= long_call)
     {
-        usable = (lanes.size() + 1) / 2;
+        usable = lanes.size() - lanes.size() / short_lanes;
     }
     advice_lane* best = nullptr;
     for (std::size_t i = 0; i < usable; ++i)
@@ -40,7 +41,7 @@
         {
             continue;
         }
-        // Later lanes first among the idle: the first half is for long calls.
+        // Later lanes first among the idle: long calls use the first ones.
         if (best == nullptr || lane.busy_until <= best->busy_until)
         {
             best = &lane;
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t runs_per_term = 1000;
 /// How many steps one look examines; the rest wait for the next one.
 constexpr std::size_t max_steps_per_plan = 400;
+/// Room is kept on one worker in so many, and for one step more: were it kept
+/// for all that wait, workers would stand empty beside work that fits.
+constexpr std::size_t workers_per_kept = 4;
 
 } // namespace
 
@@ -83,6 +86,7 @@
         this->state.board.ready(), wall_time_ms(), max_steps_per_plan);
     // Room that steps of higher rank wait for is kept for the round.
     ++this->round;
+    this->kept_workers = 0;
     resources const most = this->most_free();
     for (step_rank const& rank : ranks)
     {
@@ -218,10 +222,7 @@
     }
     if (advised && !this->can_get_tickets(*job, *step, chosen))
     {
-        for (std::string const& worker : chosen)
-        {
-            this->state.pool.find(worker)->kept_in_round = this->round;
-        }
+        this->keep_chosen(chosen);
         return;
     }
     this->reserve(*step, chosen, request.need);
@@ -244,9 +245,40 @@
                                         decision_time(job, lacking.size())));
 }
 
+bool step_planner::may_keep() const
+{
+    return this->kept_workers * workers_per_kept <
+           this->state.pool.all().size();
+}
+
+void step_planner::keep(pool_worker& worker)
+{
+    if (!this->is_kept(worker))
+    {
+        worker.kept_in_round = this->round;
+        ++this->kept_workers;
+    }
+}
+
+void step_planner::keep_chosen(std::vector<std::string> const& chosen)
+{
+    if (!this->may_keep())
+    {
+        return;
+    }
+    for (std::string const& worker : chosen)
+    {
+        this->keep(*this->state.pool.find(worker));
+    }
+}
+
 void step_planner::keep_room(
     board_step const& step, placement_request const& request)
 {
+    if (!this->may_keep())
+    {
+        return;
+    }
     std::vector<std::pair<std::int64_t, pool_worker*>> freest;
     time_point now = this->state.parts.loop.now();
     for (auto& [id, worker] : this->state.pool.all())
@@ -267,7 +299,7 @@
         std::pop_heap(freest.begin(), freest.end());
         pool_worker* worker = freest.back().second;
         freest.pop_back();
-        worker->kept_in_round = this->round;
+        this->keep(*worker);
         auto capacity = worker->entry.capacity.cpu_millis;
         tasks += request.need.cpu_millis > 0
                      ? capacity / request.need.cpu_millis
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -470,3 +470,32 @@
     cr_assert_not(worker.running.contains(beyond));
     cr_assert(bench.state_of("a") == work_state::running);
 }
+
+Test(dispatcher, gangs_that_wait_leave_most_workers_to_other_work)
+{
+    constexpr int workers = 16;
+    cell_bench bench(workers);
+    bench.begin_term();
+    bench.submit("small-everywhere", workers,
+        [](work_record& record) { record.steps[0].max_per_worker = 1; });
+    bench.pass(second);
+    cr_assert(bench.workers.running() == std::size_t{workers});
+    // None of them fits while something runs on each worker.
+    for (int i = 0; i < 6; ++i)
+    {
+        bench.submit("gang-" + std::to_string(i), 3,
+            [](work_record& record)
+            {
+                record.steps[0].gang = true;
+                record.steps[0].need.cpu_millis = worker_cpu;
+            });
+    }
+    bench.submit(
+        "last", 1, [](work_record& record) { record.queue.priority = 5; });
+    bench.pass(second);
+    cr_assert(bench.workers.running() == std::size_t{workers + 1});
+    // Room is kept for the first of them, so it is served once work ends.
+    bench.workers.end_all(run_end::succeeded);
+    bench.pass(second);
+    cr_assert(bench.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
+}
