Instances without the store find the leader through others

Ruled out: the successor's start (70 ms after its election).

Change: the active scheduler answers a hello with its members and the age of its last confirmed beat; an instance that reaches neither the store nor a leader asks members, one after the other, for the leader they know; so does a leader whose beats fail. While an instance can accept nothing it says that it is not ready, and asks the store again at each such question, so that the platform's balancer takes callers elsewhere.

--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -22,6 +22,16 @@
     MSGPACK_DEFINE(name, address)
 };
 
+/// The active scheduler's answer: whom it hears, and how long ago the last
+/// beat was sent that the store confirmed.
+struct member_list
+{
+    std::vector<member_hello> members;
+    std::int64_t beat_age_ms = 0;
+
+    MSGPACK_DEFINE(members, beat_age_ms)
+};
+
 /// A job that is in the store by now.
 struct work_accepted
 {
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -8,6 +8,7 @@
 #include "toucanlever/cell/cell_settings.hpp"
 #include "toucanlever/cell/dispatcher.hpp"
 #include "toucanlever/cell/job_acceptor.hpp"
+#include "toucanlever/cell/leader_seeker.hpp"
 #include "toucanlever/cell/leadership.hpp"
 #include "toucanlever/cell/order_relay.hpp"
 #include "toucanlever/cell/placement_advice.hpp"
@@ -57,6 +58,11 @@
     void count_waiting(std::string const& queue,
         std::function<void(std::optional<std::uint64_t>)> done);
 
+    /// False while submissions would be refused: this instance reaches
+    /// neither the store nor an active scheduler that does. Asks the store
+    /// again then.
+    bool can_accept();
+
     /// Gives up the active scheduler's part; `done` follows.
     void leave(std::function<void()> done);
 
@@ -73,6 +79,9 @@
     void answer_advice(advice_request const& request, rpc_responder respond);
 
     void say_hello();
+    void take_members(rpc_result const& result);
+    /// No active scheduler answers this instance.
+    bool is_leader_lost() const;
     /// Asks the active scheduler to store a job, since this instance cannot.
     void forward(work_record const& record, milliseconds patience,
         std::function<void(accept_result)> done);
@@ -111,6 +120,12 @@
     std::unique_ptr<leadership> election;
     event_loop::timer_id hello = 0;
     time_point next_stored_lookup{};
+    // The leader's last answer to a hello; unset when it answered none, or
+    // that it is not the leader.
+    std::optional<time_point> leader_heard;
+    milliseconds leader_beat_age{0};
+    // Below what its callbacks use.
+    std::unique_ptr<leader_seeker> seeker;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/include/toucanlever/cell/leadership.hpp
+++ b/include/toucanlever/cell/leadership.hpp
@@ -71,6 +71,18 @@
     /// A successor counts leases as over from this moment on.
     time_point lease_limit() const;
 
+    /// The holder as far as is known here.
+    std::optional<leader_row> const& known_leader() const
+    {
+        return this->leader;
+    }
+
+    /// Another instance names a holder; this one may not reach the store.
+    void hear(leader_row const& row);
+
+    /// How long ago the last beat was sent that the store confirmed.
+    milliseconds beat_age() const;
+
     std::optional<record_write> begin_transaction() override;
     void settle(time_point sent_at, bool committed) override;
 
--- a/include/toucanlever/cell/member_links.hpp
+++ b/include/toucanlever/cell/member_links.hpp
@@ -41,6 +41,9 @@
     /// The link to a member while it stands; null otherwise.
     rpc_client* find(std::string const& name) const;
 
+    /// Everybody who is heard.
+    std::vector<member_hello> list() const;
+
     std::string const& self() const { return this->own_name; }
 
 private:
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -50,7 +50,10 @@
     relayed_stop = 37,
     relayed_watch = 38,
     order_reply = 39,
-    watch_reply = 40
+    watch_reply = 40,
+    member_list = 41,
+    leader_query = 42,
+    leader_reply = 43
 };
 
 template <>
@@ -96,7 +99,10 @@
         row{message_type::relayed_stop, "relayed-stop"},
         row{message_type::relayed_watch, "relayed-watch"},
         row{message_type::order_reply, "order-reply"},
-        row{message_type::watch_reply, "watch-reply"}};
+        row{message_type::watch_reply, "watch-reply"},
+        row{message_type::member_list, "member-list"},
+        row{message_type::leader_query, "leader-query"},
+        row{message_type::leader_reply, "leader-reply"}};
 };
 
 } // namespace toucanlever
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -21,6 +21,9 @@
 /// there are instances, and the store's calls are limited.
 constexpr milliseconds stored_lookup_gap{500};
 constexpr milliseconds tell_timeout{1000};
+/// A leader that was not heard for this long, or whose beats were not
+/// confirmed, accepts nothing for others: three hellos, or five beats.
+constexpr milliseconds leader_silent{1500};
 /// A store that is 100 times as slow as on a calm day answers within it.
 constexpr milliseconds cancel_commit_timeout{2000};
 
@@ -41,6 +44,9 @@
     this->election = std::make_unique<leadership>(loop, this->parts.store, self,
         settings.cpu_share, static_cast<leadership_listener&>(*this));
     this->hello = loop.every(hello_period, [this] { this->say_hello(); });
+    this->seeker = std::make_unique<leader_seeker>(
+        loop, settings.name, [this] { return this->is_leader_lost(); },
+        [this](leader_row const& row) { this->election->hear(row); });
 }
 
 cell_node::~cell_node()
@@ -85,6 +91,7 @@
 
 void cell_node::on_deposed(std::string const&)
 {
+    this->seeker->learn(this->members->list());
     this->scheduler.reset();
     this->orders.reset();
     this->broker.reset();
@@ -93,6 +100,7 @@
 
 void cell_node::on_leader(std::optional<leader_row> const& found)
 {
+    this->leader_heard.reset();
     bool usable = found && !found->released &&
                   found->address != this->settings.peer_address;
     if (!usable)
@@ -111,12 +119,68 @@
 
 void cell_node::say_hello()
 {
-    if (this->leader && this->leader->connected())
+    if (this->scheduler)
+    {
+        this->seeker->learn(this->members->list());
+        return;
+    }
+    if (!this->leader || !this->leader->connected())
+    {
+        this->leader_heard.reset();
+        return;
+    }
+    member_hello message{this->settings.name, this->settings.peer_address};
+    this->leader->request(message_type::member_hello, pack(message),
+        hello_period,
+        [this, alive = this->alive](rpc_result const& result)
+        {
+            if (*alive)
+            {
+                this->take_members(result);
+            }
+        });
+}
+
+void cell_node::take_members(rpc_result const& result)
+{
+    this->leader_heard.reset();
+    try
+    {
+        auto answer =
+            result.as<member_list>(message_type::member_list, "leader");
+        this->leader_heard = this->parts.loop.now();
+        this->leader_beat_age = milliseconds(answer.beat_age_ms);
+        this->seeker->learn(answer.members);
+    }
+    catch (error const& problem)
+    {
+        log_line("hello-not-answered")
+            .with("step", problem.step)
+            .with("problem", problem.what());
+    }
+}
+
+bool cell_node::is_leader_lost() const
+{
+    // Whoever reads the store learns of the leader there.
+    if (this->scheduler)
+    {
+        return this->election->beat_age() > leader_silent;
+    }
+    return !this->scheduler && !this->leader_heard &&
+           this->acceptor.is_store_away();
+}
+
+bool cell_node::can_accept()
+{
+    if (!this->acceptor.is_store_away())
     {
-        member_hello message{this->settings.name, this->settings.peer_address};
-        this->leader->request(message_type::member_hello, pack(message),
-            hello_period, [](rpc_result const&) {});
+        return true;
     }
+    this->acceptor.probe();
+    return !this->scheduler && this->leader_heard &&
+           this->parts.loop.now() - *this->leader_heard < leader_silent &&
+           this->leader_beat_age < leader_silent;
 }
 
 void cell_node::leave(std::function<void()> done)
@@ -436,6 +500,12 @@
     {
         return;
     }
+    if (request.type == message_type::leader_query)
+    {
+        respond(message_type::leader_reply,
+            pack(this->election->known_leader().value_or(leader_row{})));
+        return;
+    }
     if (!this->scheduler)
     {
         throw error(error_code::unavailable,
@@ -446,7 +516,9 @@
     {
     case message_type::member_hello:
         this->members->hear(unpack<member_hello>(request.body, peer));
-        respond(message_type::ack, {});
+        respond(message_type::member_list,
+            pack(member_list{
+                this->members->list(), this->election->beat_age().count()}));
         return;
     case message_type::work_accepted:
     {
--- /dev/null
+++ b/src/cell/leader_seeker.cpp
@@ -0,0 +1,96 @@
+#include "toucanlever/cell/leader_seeker.hpp"
+
+#include "toucanlever/core/log.hpp"
+
+namespace toucanlever
+{
+namespace
+{
+
+/// One look opens a link, the next one asks over it.
+constexpr milliseconds look_period{200};
+constexpr milliseconds query_timeout{400};
+
+} // namespace
+
+leader_seeker::leader_seeker(event_loop& loop, std::string self,
+    std::function<bool()> is_lost,
+    std::function<void(leader_row const&)> on_found)
+    : loop(loop)
+    , self(std::move(self))
+    , is_lost(std::move(is_lost))
+    , on_found(std::move(on_found))
+{
+    this->timer = loop.every(look_period, [this] { this->look(); });
+}
+
+leader_seeker::~leader_seeker()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void leader_seeker::learn(std::vector<member_hello> const& heard)
+{
+    for (member_hello const& member : heard)
+    {
+        if (member.name != this->self)
+        {
+            this->members[member.name] = member.address;
+        }
+    }
+}
+
+void leader_seeker::look()
+{
+    if (!this->is_lost())
+    {
+        this->link.reset();
+        return;
+    }
+    if (!this->link || !this->link->connected() || this->is_asked)
+    {
+        this->ask_next();
+        return;
+    }
+    this->link->request(message_type::leader_query, {}, query_timeout,
+        [this, peer = this->asked, alive = this->alive](
+            rpc_result const& result)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            try
+            {
+                this->on_found(
+                    result.as<leader_row>(message_type::leader_reply, peer));
+            }
+            catch (error const& problem)
+            {
+                log_line("leader-not-told")
+                    .with("member", peer)
+                    .with("problem", problem.what());
+            }
+        });
+    this->is_asked = true;
+}
+
+void leader_seeker::ask_next()
+{
+    auto next = this->members.upper_bound(this->asked);
+    if (next == this->members.end())
+    {
+        next = this->members.begin();
+    }
+    if (next == this->members.end())
+    {
+        return;
+    }
+    this->asked = next->first;
+    this->is_asked = false;
+    this->link =
+        std::make_unique<rpc_client>(this->loop, next->second, rpc_timing{});
+}
+
+} // namespace toucanlever
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -104,6 +104,29 @@
     }
 }
 
+void leadership::hear(leader_row const& row)
+{
+    if (this->leader && row.fence <= this->leader->fence)
+    {
+        return;
+    }
+    log_line("leader-heard-of").with("name", row.name).with("fence", row.fence);
+    // The row's version stays as it was read: claims are checked against it.
+    this->leader = row;
+    this->beat_seen = this->loop.now();
+    if (this->held)
+    {
+        this->step_down("another instance names a later holder");
+    }
+    this->listener.on_leader(this->leader);
+}
+
+milliseconds leadership::beat_age() const
+{
+    return std::chrono::duration_cast<milliseconds>(
+        this->loop.now() - this->beat_confirmed);
+}
+
 bool leadership::is_vacant() const
 {
     if (!this->leader || this->leader->released ||
--- a/src/cell/member_links.cpp
+++ b/src/cell/member_links.cpp
@@ -67,6 +67,16 @@
     return usable ? found->second.link.get() : nullptr;
 }
 
+std::vector<member_hello> member_links::list() const
+{
+    std::vector<member_hello> all;
+    for (auto const& [name, entry] : this->members)
+    {
+        all.push_back({name, entry.link->address()});
+    }
+    return all;
+}
+
 void member_links::drop_unheard()
 {
     time_point now = this->loop.now();
