Orders of an instance that goes are in doubt, not forgotten

Cause: read, not seen: when an instance is no longer heard while its link stands, its link is dropped, and a dropped link tells nobody of the requests on it. A worker's watch that was passed on through it would never end: the worker's lease would not be renewed, and nobody would notice that its tasks lapsed.

Ruled out for most cases, not for all: a silent link is noticed after a second and fails its requests, but a link that answers heartbeats while its instance says hello to another leader does not.

Change: orders that are passed on are kept by member and end in doubt when it goes. An instance that leaves refuses orders at once, so that they are sent from the active scheduler instead of getting lost at its exit.

--- a/include/toucanlever/cell/order_relay.hpp
+++ b/include/toucanlever/cell/order_relay.hpp
@@ -23,8 +23,11 @@
     bool take(
         frame const& request, std::string const& peer, rpc_responder respond);
 
+    /// Refuses orders from now on: the instance ends soon.
+    void begin_leaving() { this->leaving = true; }
+
 private:
-    void check_age();
+    void check_usable();
     /// Notices that the instance stood still.
     void tick();
 
@@ -33,6 +36,7 @@
     time_point last_tick;
     // What arrives until then may have waited in a socket meanwhile.
     time_point refuse_until{};
+    bool leaving = false;
     event_loop::timer_id timer = 0;
 };
 
--- a/include/toucanlever/cell/relayed_orders.hpp
+++ b/include/toucanlever/cell/relayed_orders.hpp
@@ -11,6 +11,8 @@
 #include "toucanlever/cell/member_links.hpp"
 #include "toucanlever/cell/worker_orders.hpp"
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -52,6 +54,14 @@
         message_type reply_type, std::string body, milliseconds timeout,
         std::function<void(Result)> done, std::function<void()> from_here);
 
+    /// An order that was passed on and not answered.
+    struct open_order
+    {
+        std::string member;
+        /// Tells whoever gave it that it is in doubt.
+        std::function<void()> give_up;
+    };
+
     /// A member that did not answer gets nothing for a while.
     void rest(std::string const& name);
 
@@ -62,6 +72,8 @@
     std::map<std::string, time_point> resting;
     // Forgotten whenever the members that may be chosen change.
     std::unordered_map<std::string, std::string> choices;
+    std::map<std::uint64_t, open_order> open;
+    std::uint64_t next_order = 1;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -185,6 +185,7 @@
 
 void cell_node::leave(std::function<void()> done)
 {
+    this->relay.begin_leaving();
     this->election->resign(std::move(done));
 }
 
--- a/src/cell/order_relay.cpp
+++ b/src/cell/order_relay.cpp
@@ -42,13 +42,16 @@
     this->last_tick = now;
 }
 
-void order_relay::check_age()
+void order_relay::check_usable()
 {
     // Sockets may be read before the timer is.
     this->tick();
-    if (this->loop.now() < this->refuse_until)
+    bool stood_still = this->loop.now() < this->refuse_until;
+    if (stood_still || this->leaving)
     {
-        throw error(error_code::unavailable, "this instance stood still",
+        throw error(error_code::unavailable,
+            stood_still ? "this instance stood still"
+                        : "this instance is leaving",
             "relay-order", {}, run_state::no);
     }
 }
@@ -60,7 +63,7 @@
     {
     case message_type::relayed_start:
     {
-        this->check_age();
+        this->check_usable();
         auto message = unpack<relayed_start>(request.body, peer);
         this->workers.start(message.worker, message.order,
             [respond = std::move(respond)](order_result const& result)
@@ -69,7 +72,7 @@
     }
     case message_type::relayed_stop:
     {
-        this->check_age();
+        this->check_usable();
         auto message = unpack<relayed_stop>(request.body, peer);
         this->workers.stop(message.worker, message.order,
             [respond = std::move(respond)](order_result const& result)
@@ -78,7 +81,7 @@
     }
     case message_type::relayed_watch:
     {
-        this->check_age();
+        this->check_usable();
         auto message = unpack<relayed_watch>(request.body, peer);
         this->workers.watch(message.worker, message.order,
             [respond = std::move(respond)](watch_result const& result)
--- a/src/cell/relayed_orders.cpp
+++ b/src/cell/relayed_orders.cpp
@@ -42,6 +42,23 @@
 {
     std::erase(this->names, name);
     this->choices.clear();
+    for (auto const& [id, order] : this->open)
+    {
+        if (order.member != name)
+        {
+            continue;
+        }
+        this->loop.post(
+            [this, id = id, alive = this->alive]
+            {
+                auto lost = *alive ? this->open.extract(id)
+                                   : decltype(this->open)::node_type();
+                if (lost)
+                {
+                    lost.mapped().give_up();
+                }
+            });
+    }
 }
 
 std::string const& relayed_orders::choose(std::string const& worker)
@@ -102,12 +119,20 @@
         return;
     }
     metrics().count("orders_relayed");
+    std::uint64_t id = this->next_order++;
+    auto give_up = [member, done]
+    {
+        Result answer;
+        answer.problem = "relay " + member + ": is no longer heard";
+        done(std::move(answer));
+    };
+    this->open.emplace(id, open_order{member, std::move(give_up)});
     link->request(type, std::move(body), timeout,
-        [this, member, worker, reply_type, done = std::move(done),
+        [this, id, member, worker, reply_type, done = std::move(done),
             from_here = std::move(from_here),
             alive = this->alive](rpc_result const& result)
         {
-            if (!*alive)
+            if (!*alive || this->open.erase(id) == 0)
             {
                 return;
             }
--- a/tests/unit/fake_record_store.hpp
+++ b/tests/unit/fake_record_store.hpp
@@ -263,7 +263,10 @@
 class no_beat final : public holder_beat
 {
 public:
-    std::optional<record_write> begin_transaction() override { return std::nullopt; }
+    std::optional<record_write> begin_transaction() override
+    {
+        return std::nullopt;
+    }
     void settle(time_point, bool committed) override
     {
         this->confirmed += committed ? 1 : 0;
--- a/tests/unit/relayed_orders.tests.cpp
+++ b/tests/unit/relayed_orders.tests.cpp
@@ -61,6 +61,16 @@
         }
     }
 
+    void pass_unheard(milliseconds span)
+    {
+        constexpr milliseconds step{20};
+        for (milliseconds done{0}; done < span; done += step)
+        {
+            this->time.advance(step);
+            this->loop.run_ready();
+        }
+    }
+
     /// Starts task 0 of job "a" on a worker.
     void start(std::string const& worker)
     {
@@ -176,6 +186,34 @@
     cr_assert(bench.outcomes.front() == order_outcome::done);
 }
 
+Test(relayed_orders, what_an_instance_left_open_when_it_goes_is_in_doubt)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.other.swallow = true;
+    int answers = 0;
+    bench.orders.watch({worker, worker}, {7, 0, 0, 2000},
+        [&answers](watch_result const& result)
+        { answers += result.outcome == order_outcome::in_doubt ? 1 : 100; });
+    // Its link stands, and it says hello to nobody.
+    bench.pass_unheard(milliseconds(2200));
+    cr_assert(answers == 1);
+    bench.pass_unheard(milliseconds(2000));
+    cr_assert(answers == 1);
+}
+
+Test(order_relay, an_instance_that_leaves_takes_no_orders)
+{
+    relay_bench bench;
+    std::string worker = bench.relayed_worker();
+    bench.other.relay.begin_leaving();
+    bench.start(worker);
+    bench.pass(milliseconds(100));
+    cr_assert(bench.outcomes.size() == 1U);
+    cr_assert(bench.outcomes.front() == order_outcome::done);
+    cr_assert(bench.near.workers.at(worker).starts.size() == 1U);
+}
+
 Test(order_relay, what_waited_while_the_instance_stood_still_is_refused)
 {
     relay_bench bench;
