--- a/include/toucanlever/cell/record_follower.hpp
+++ b/include/toucanlever/cell/record_follower.hpp
@@ -81,6 +81,7 @@
     void request_changes();
     void handle_changes(read_result const& result, time_point requested_at);
     void schedule_follow(milliseconds delay);
+    std::int64_t elapsed_ms(time_point since) const;
 
     event_loop& loop;
     record_store& store;
--- a/include/toucanlever/cell/record_store.hpp
+++ b/include/toucanlever/cell/record_store.hpp
@@ -90,6 +90,8 @@
     std::vector<record> rows;
     std::int64_t version = 0;
     bool has_more = false;
+    /// Why the read failed; empty unless it did.
+    std::string problem{};
 };
 
 /// The store. Each callback is called exactly once, on the loop's thread.
--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -159,6 +159,12 @@
     this->on_rows(snapshot, true);
 }
 
+std::int64_t record_follower::elapsed_ms(time_point since) const
+{
+    return std::chrono::duration_cast<milliseconds>(this->loop.now() - since)
+        .count();
+}
+
 void record_follower::schedule_follow(milliseconds delay)
 {
     this->timer = this->loop.after(delay, [this] { this->request_changes(); });
@@ -196,10 +202,26 @@
     if (result.outcome == read_outcome::failed)
     {
         ++this->failures;
+        if (this->failures == 1)
+        {
+            log_line("store-follow-interrupted")
+                .with("table", this->options.table)
+                .with("version", this->version)
+                .with("call_ms", this->elapsed_ms(requested_at))
+                .with("problem", result.problem);
+        }
         this->schedule_follow(
             backoff_delay(this->failures, retry_min, retry_max));
         return;
     }
+    if (this->failures > 0)
+    {
+        log_line("store-follow-resumed")
+            .with("table", this->options.table)
+            .with("failed_calls", this->failures)
+            .with("stale_ms", this->elapsed_ms(this->fresh_time))
+            .with("call_ms", this->elapsed_ms(requested_at));
+    }
     this->failures = 0;
     this->fresh_time = requested_at;
     this->version = std::max(this->version, result.version);
