Ids of timers are never reused

Cause: the reactor reuses the id of a timer that has fired. An object that kept such an id and cancelled it when it was destroyed cancelled whatever timer had the id by then. record_scan (after a failed read), record_follower and completion_journal (when a leader is deposed) do so. If the victim is the timer by which the follower of the configuration repeats a failed call, that instance reads no further version until it is restarted.

Change: the event loop gives out ids of its own and maps them to the reactor's while a timer is pending.

Works because an id that is no longer pending is unknown to the loop, so a late cancel has no effect, whoever makes it.

--- a/include/toucanlever/core/event_loop.hpp
+++ b/include/toucanlever/core/event_loop.hpp
@@ -19,7 +19,8 @@
 public:
     using callback = std::function<void()>;
 
-    /// Identifies a timer; zero means none.
+    /// Identifies a timer; zero means none. Never reused, so that the id of a
+    /// timer that has fired may be cancelled.
     using timer_id = long;
 
     explicit event_loop(clock const& time);
--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <unordered_map>
 
 namespace toucanlever
 {
@@ -55,14 +56,21 @@
     ACE_Event_Handler_Handle_Timeout_Upcall, ACE_SYNCH_RECURSIVE_MUTEX,
     ACE_Delegating_Time_Policy>;
 
+/// The reactor's number of each pending timer. The reactor reuses the numbers
+/// of timers that have fired, so they do not leave the loop.
+using pending_timers = std::unordered_map<event_loop::timer_id, long>;
+
 /// Calls one callback when its timer expires.
 class timer_handler final : public ACE_Event_Handler
 {
 public:
-    timer_handler(event_loop::callback work, bool repeats)
+    timer_handler(event_loop::callback work, bool repeats,
+        event_loop::timer_id id, pending_timers& pending)
         : ACE_Event_Handler(nullptr)
         , work(std::move(work))
         , repeats(repeats)
+        , id(id)
+        , pending(pending)
     {
         this->reference_counting_policy().value(
             ACE_Event_Handler::Reference_Counting_Policy::ENABLED);
@@ -75,6 +83,7 @@
             this->work();
             return 0;
         }
+        this->pending.erase(this->id);
         event_loop::callback once = std::move(this->work);
         once();
         return 0;
@@ -83,6 +92,8 @@
 private:
     event_loop::callback work;
     bool repeats;
+    event_loop::timer_id id;
+    pending_timers& pending;
 };
 
 ACE_Time_Value to_ace(microseconds span)
@@ -153,6 +164,28 @@
         return 0;
     }
 
+    timer_id schedule(microseconds delay, microseconds period, callback work)
+    {
+        timer_id id = ++this->last_timer;
+        bool repeats = period > microseconds(0);
+        auto* handler =
+            new timer_handler(std::move(work), repeats, id, this->pending);
+        ACE_Event_Handler_var guard(handler);
+        this->pending[id] = this->reactor.schedule_timer(
+            handler, nullptr, to_ace(delay), to_ace(period));
+        return id;
+    }
+
+    void cancel(timer_id id)
+    {
+        auto found = this->pending.find(id);
+        if (found != this->pending.end())
+        {
+            this->reactor.cancel_timer(found->second);
+            this->pending.erase(found);
+        }
+    }
+
     void handle_reload_signal()
     {
         if (this->reload_signalled.exchange(false) && this->reload_work)
@@ -179,6 +212,8 @@
 
     ace_time_policy policy;
     std::unique_ptr<timer_heap> timers;
+    pending_timers pending;
+    timer_id last_timer = 0;
     ACE_Reactor reactor;
     std::mutex mutex;
     std::deque<callback> messages;
@@ -245,29 +280,17 @@
 
 event_loop::timer_id event_loop::after(microseconds delay, callback work)
 {
-    auto* handler = new timer_handler(std::move(work), false);
-    ACE_Event_Handler_var guard(handler);
-    // ACE numbers timers from zero; here zero means none.
-    return this->pimpl->reactor.schedule_timer(
-               handler, nullptr, to_ace(delay)) +
-           1;
+    return this->pimpl->schedule(delay, microseconds(0), std::move(work));
 }
 
 event_loop::timer_id event_loop::every(microseconds period, callback work)
 {
-    auto* handler = new timer_handler(std::move(work), true);
-    ACE_Event_Handler_var guard(handler);
-    return this->pimpl->reactor.schedule_timer(
-               handler, nullptr, to_ace(period), to_ace(period)) +
-           1;
+    return this->pimpl->schedule(period, period, std::move(work));
 }
 
 void event_loop::cancel(timer_id timer)
 {
-    if (timer > 0)
-    {
-        this->pimpl->reactor.cancel_timer(timer - 1);
-    }
+    this->pimpl->cancel(timer);
 }
 
 void event_loop::on_stop_signal(callback work)
--- a/tests/unit/configuration_follower.tests.cpp
+++ b/tests/unit/configuration_follower.tests.cpp
@@ -88,3 +88,32 @@
     instance.run_for(milliseconds(1000));
     cr_assert(instance.queues.version() == 5);
 }
+
+Test(configuration_follower, the_end_of_another_read_does_not_stop_its_retries)
+{
+    following_instance instance;
+    // The reactor hands out its ids in turn; each round shifts them by one
+    // more, so that in one of them the follower's timer gets the id of the
+    // read's.
+    constexpr int rounds = 1100;
+    for (int round = 1; round <= rounds; ++round)
+    {
+        instance.store.rejecting = true;
+        auto read = std::make_unique<record_scan>(instance.loop, instance.store,
+            "jobs", "", [](std::vector<record> const&, std::int64_t) {});
+        instance.store.rejecting = false;
+        instance.run_for(milliseconds(250));
+        for (int i = 0; i < round; ++i)
+        {
+            instance.loop.cancel(
+                instance.loop.after(milliseconds(1000), [] {}));
+        }
+        instance.store.rejecting = true;
+        instance.run_for(milliseconds(1000));
+        read.reset();
+        instance.store.rejecting = false;
+        instance.write(std::to_string(round));
+        instance.run_for(milliseconds(550));
+        cr_assert(instance.queues.version() == round);
+    }
+}
--- a/tests/unit/event_loop.tests.cpp
+++ b/tests/unit/event_loop.tests.cpp
@@ -19,3 +19,24 @@
     }
     cr_assert(fired == repeats);
 }
+
+// A timer that has fired keeps its id in the object that set it.
+Test(event_loop, cancelling_a_timer_that_has_fired_cancels_no_later_one)
+{
+    manual_clock time;
+    event_loop loop(time);
+    event_loop::timer_id fired = loop.after(milliseconds(1), [] {});
+    time.advance(milliseconds(1));
+    loop.run_ready();
+    // Enough for the reactor to reuse each of its ids many times.
+    constexpr int later_timers = 5000;
+    int called = 0;
+    for (int i = 0; i < later_timers && called == i; ++i)
+    {
+        loop.after(milliseconds(1), [&called] { ++called; });
+        loop.cancel(fired);
+        time.advance(milliseconds(1));
+        loop.run_ready();
+    }
+    cr_assert(called == later_timers);
+}
