Configurations travel between instances, not only from the store

Cause: the store was the only source. An instance that the store turns away learned a version only when the store took it again, although its peers had it.

With the exchange disabled, these tests fail: an_instance_without_the_store_learns_versions_from_the_leader, a_leader_without_the_store_learns_versions_from_its_members and an_instance_without_the_store_learns_versions_after_a_succession.

Change: hellos and their replies name the version in force at the sender, and the active scheduler notifies its members when it adopts one. Whoever is behind asks the sender for the operator's document, which is decoded as if the store had sent it. Failing reads of the configuration, not only failing submissions, now make an instance look for a leader through the others.

Works because every instance that reaches the leader, or a peer that knows it, hears of a version within one hello (0.5 s), and versions only rise.

--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -19,19 +19,50 @@
     std::string name;
     /// Where the instance accepts requests of the other instances.
     std::string address;
+    /// The configuration in force at the instance; 0 when there is none, and in
+    /// a `member_list`.
+    std::int64_t config_version = 0;
 
-    MSGPACK_DEFINE(name, address)
+    MSGPACK_DEFINE(name, address, config_version)
 };
 
 /// The active scheduler's reply to `member_hello`: the instances that sent a
-/// hello recently, and the time since it sent the last heartbeat that the store
-/// confirmed.
+/// hello recently, the time since it sent the last heartbeat that the store
+/// confirmed, and the configuration in force there.
 struct member_list
 {
     std::vector<member_hello> members;
     std::int64_t heartbeat_age_ms = 0;
+    std::int64_t config_version = 0;
 
-    MSGPACK_DEFINE(members, heartbeat_age_ms)
+    MSGPACK_DEFINE(members, heartbeat_age_ms, config_version)
+};
+
+/// Tells a member that another configuration is in force at the active
+/// scheduler.
+struct configuration_notice
+{
+    std::int64_t version = 0;
+
+    MSGPACK_DEFINE(version)
+};
+
+/// Asks an instance for the configuration in force there.
+struct configuration_query
+{
+    /// The version in force at the sender.
+    std::int64_t version = 0;
+
+    MSGPACK_DEFINE(version)
+};
+
+/// The operator's document as the store holds it; empty unless its version is
+/// higher than that of the query.
+struct configuration_reply
+{
+    std::string document;
+
+    MSGPACK_DEFINE(document)
 };
 
 /// Announces a job that the store holds.
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "toucanlever/cell/cell_settings.hpp"
+#include "toucanlever/cell/configuration_exchange.hpp"
 #include "toucanlever/cell/dispatcher.hpp"
 #include "toucanlever/cell/job_acceptor.hpp"
 #include "toucanlever/cell/leader_discovery.hpp"
@@ -30,7 +31,7 @@
     record_store& store;
     worker_orders& orders;
     placement_advice& advice;
-    queue_directory const& queues;
+    configuration_follower& configuration;
     std::string worker_table;
     std::function<std::optional<worker_entry>(
         std::string const& id, std::string const& value)>
@@ -90,7 +91,11 @@
         advice_request const& request, rpc_responder respond);
 
     void send_hello();
+    void handle_hello(member_hello const& hello);
     void handle_member_list(rpc_result const& result);
+    /// Tells all members, while this instance is the active scheduler, that
+    /// another configuration is in force.
+    void announce_configuration();
     /// True while this instance has to ask the other instances for the leader.
     /// That is when no active scheduler answers it and the store is
     /// unavailable, or when it is the active scheduler itself and its
@@ -123,6 +128,7 @@
 
     cell_node_dependencies dependencies;
     cell_settings settings;
+    configuration_exchange configuration;
     job_acceptor acceptor;
     std::unique_ptr<rpc_server> server;
     // The link to the active scheduler when that is another instance.
--- /dev/null
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -0,0 +1,51 @@
+/// Passes configurations on between instances, so that one that the store turns
+/// away learns a version from the others.
+///
+/// Hellos and their replies name the version in force at the sender; whoever is
+/// behind asks the sender for its document.
+#pragma once
+
+#include "toucanlever/cell/cell_messages.hpp"
+#include "toucanlever/cell/configuration_follower.hpp"
+#include "toucanlever/wire/rpc.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace toucanlever
+{
+
+/// The part of one instance in the exchange.
+class configuration_exchange
+{
+public:
+    configuration_exchange(
+        event_loop& loop, configuration_follower& configuration);
+    ~configuration_exchange();
+
+    /// The version in force at this instance.
+    std::int64_t version() const
+    {
+        return this->configuration.queues().version();
+    }
+
+    /// `peer` has this version in force; its document is requested if the
+    /// version is higher than the one in force here.
+    void handle_peer_version(std::int64_t peer_version, rpc_client& peer);
+
+    /// The reply to another instance's query.
+    configuration_reply reply_to(configuration_query const& query) const;
+
+private:
+    void handle_reply(rpc_result const& result, std::string const& peer);
+
+    event_loop& loop;
+    configuration_follower& configuration;
+    // When a request was sent that has not been answered. A link that is
+    // destroyed drops its requests without an answer.
+    std::optional<time_point> requested_at;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+} // namespace toucanlever
--- a/include/toucanlever/cell/configuration_follower.hpp
+++ b/include/toucanlever/cell/configuration_follower.hpp
@@ -1,6 +1,6 @@
 /// Keeps an instance's configuration up to date with the one that the operator
-/// writes to the store, and logs when each version comes into force and how
-/// long the copy has gone without confirmation.
+/// writes to the store, and logs when each version comes into force, from
+/// where, and how long the copy has gone without confirmation.
 #pragma once
 
 #include "toucanlever/cell/queue_directory.hpp"
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace toucanlever
@@ -26,7 +27,8 @@
     configuration_decoder decode;
 };
 
-/// Follows the operator's document and adopts each higher version of it.
+/// Adopts each higher version of the operator's document, whether it comes from
+/// the store or from another instance.
 class configuration_follower
 {
 public:
@@ -35,20 +37,39 @@
         configuration_source source, queue_directory& queues);
     ~configuration_follower();
 
+    /// `handler` is called after each version that comes into force.
+    void on_adopted(std::function<void()> handler);
+
+    /// Puts the document into force if its version is higher; `origin` names in
+    /// the log where it came from.
+    void adopt(std::string const& document, std::string_view origin);
+
+    queue_directory const& queues() const { return this->directory; }
+
+    /// The document in force, as the store holds it; empty when there is none.
+    std::string const& document() const { return this->current; }
+
+    /// False while the store does not answer: a newer version may exist then.
+    bool is_confirmed() const;
+
 private:
     void apply_rows(std::vector<record> const& rows, bool complete);
     void check_delay();
-    milliseconds unconfirmed_for() const;
 
     event_loop& loop;
     configuration_source source;
-    queue_directory& queues;
-    record_follower follower;
+    queue_directory& directory;
+    // The document of the version in `directory`.
+    std::string current;
+    std::function<void()> adopted_handler;
     // When the call was sent that confirmed the version in force, as of the
     // last check. A version that is adopted now was written after it.
     time_point confirmed_at{};
     bool reported_unconfirmed = false;
     time_point last_check{};
+    // Declared after the members that its callback uses: a store may answer at
+    // once.
+    record_follower follower;
     event_loop::timer_id timer = 0;
 };
 
--- a/include/toucanlever/cell/record_follower.hpp
+++ b/include/toucanlever/cell/record_follower.hpp
@@ -73,6 +73,11 @@
     /// are known here.
     time_point fresh_at() const { return this->fresh_time; }
     bool has_snapshot() const { return this->complete; }
+    /// True when the last call for changes was answered.
+    bool is_following() const
+    {
+        return this->complete && !this->scanning && this->failures == 0;
+    }
 
 private:
     void read_snapshot();
@@ -93,6 +98,8 @@
     time_point scan_started_at{};
     std::int64_t version = 0;
     bool complete = false;
+    // All rows are being read, for the first time or after a lost history.
+    bool scanning = true;
     int failures = 0;
     time_point fresh_time{};
     event_loop::timer_id timer = 0;
--- a/include/toucanlever/wire/message_type.hpp
+++ b/include/toucanlever/wire/message_type.hpp
@@ -53,7 +53,10 @@
     watch_reply = 40,
     member_list = 41,
     leader_query = 42,
-    leader_reply = 43
+    leader_reply = 43,
+    configuration_query = 44,
+    configuration_reply = 45,
+    configuration_notice = 46
 };
 
 template <>
@@ -102,7 +105,10 @@
         row{message_type::watch_reply, "watch-reply"},
         row{message_type::member_list, "member-list"},
         row{message_type::leader_query, "leader-query"},
-        row{message_type::leader_reply, "leader-reply"}};
+        row{message_type::leader_reply, "leader-reply"},
+        row{message_type::configuration_query, "configuration-query"},
+        row{message_type::configuration_reply, "configuration-reply"},
+        row{message_type::configuration_notice, "configuration-notice"}};
 };
 
 } // namespace toucanlever
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -35,6 +35,7 @@
     cell_node_dependencies collaborators, cell_settings const& settings)
     : dependencies(std::move(collaborators))
     , settings(settings)
+    , configuration(this->dependencies.loop, this->dependencies.configuration)
     , acceptor(this->dependencies.loop, this->dependencies.store, settings.name)
     , relay(this->dependencies.loop, this->dependencies.orders)
 {
@@ -53,11 +54,14 @@
         loop, settings.name, [this] { return this->needs_leader(); },
         [this](leader_row const& row)
         { this->election->note_known_leader(row); });
+    this->dependencies.configuration.on_adopted(
+        [this] { this->announce_configuration(); });
 }
 
 cell_node::~cell_node()
 {
     *this->alive = false;
+    this->dependencies.configuration.on_adopted(nullptr);
     this->dependencies.loop.cancel(this->hello_timer);
 }
 
@@ -74,7 +78,7 @@
     this->orders = std::make_unique<relayed_orders>(
         loop, this->dependencies.orders, *this->members);
     dispatcher_dependencies scheduling{loop, this->dependencies.store,
-        *this->orders, *this->broker, this->dependencies.queues,
+        *this->orders, *this->broker, this->dependencies.configuration.queues(),
         this->dependencies.worker_table, this->dependencies.decode_worker,
         [this] { return this->election->may_start_work(); },
         leadership::leader_lease_duration, *this->election,
@@ -136,7 +140,8 @@
         this->leader_replied_at.reset();
         return;
     }
-    member_hello message{this->settings.name, this->settings.peer_address};
+    member_hello message{this->settings.name, this->settings.peer_address,
+        this->configuration.version()};
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
         [this, alive = this->alive](rpc_result const& result)
@@ -148,6 +153,34 @@
         });
 }
 
+void cell_node::handle_hello(member_hello const& hello)
+{
+    this->members->handle_hello(hello);
+    if (rpc_client* member = this->members->find(hello.name))
+    {
+        this->configuration.handle_peer_version(hello.config_version, *member);
+    }
+}
+
+void cell_node::announce_configuration()
+{
+    if (!this->members)
+    {
+        return;
+    }
+    std::string notice =
+        pack(configuration_notice{this->configuration.version()});
+    for (member_hello const& each : this->members->list())
+    {
+        if (rpc_client* member = this->members->find(each.name))
+        {
+            // A member that misses it learns the version by its next hello.
+            member->request(message_type::configuration_notice, notice,
+                announce_timeout, [](rpc_result const&) {});
+        }
+    }
+}
+
 void cell_node::handle_member_list(rpc_result const& result)
 {
     this->leader_replied_at.reset();
@@ -158,6 +191,11 @@
         this->leader_replied_at = this->dependencies.loop.now();
         this->leader_heartbeat_age = milliseconds(answer.heartbeat_age_ms);
         this->discovery->add_members(answer.members);
+        if (this->leader_client)
+        {
+            this->configuration.handle_peer_version(
+                answer.config_version, *this->leader_client);
+        }
     }
     catch (error const& problem)
     {
@@ -175,7 +213,8 @@
     }
     // An instance that can read the store learns of the leader there.
     return !this->scheduler && !this->leader_replied_at &&
-           this->acceptor.is_store_unavailable();
+           (this->acceptor.is_store_unavailable() ||
+               !this->dependencies.configuration.is_confirmed());
 }
 
 bool cell_node::can_accept()
@@ -517,6 +556,24 @@
             pack(this->election->known_leader().value_or(leader_row{})));
         return;
     }
+    if (request.type == message_type::configuration_query)
+    {
+        respond(message_type::configuration_reply,
+            pack(this->configuration.reply_to(
+                unpack<configuration_query>(request.body, peer))));
+        return;
+    }
+    if (request.type == message_type::configuration_notice)
+    {
+        auto notice = unpack<configuration_notice>(request.body, peer);
+        respond(message_type::ack, {});
+        if (this->leader_client)
+        {
+            this->configuration.handle_peer_version(
+                notice.version, *this->leader_client);
+        }
+        return;
+    }
     if (!this->scheduler)
     {
         throw error(error_code::unavailable,
@@ -526,10 +583,11 @@
     switch (request.type)
     {
     case message_type::member_hello:
-        this->members->handle_hello(unpack<member_hello>(request.body, peer));
+        this->handle_hello(unpack<member_hello>(request.body, peer));
         respond(message_type::member_list,
             pack(member_list{this->members->list(),
-                this->election->heartbeat_age().count()}));
+                this->election->heartbeat_age().count(),
+                this->configuration.version()}));
         return;
     case message_type::work_accepted:
     {
--- a/src/cell/configuration_follower.cpp
+++ b/src/cell/configuration_follower.cpp
@@ -3,6 +3,8 @@
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
@@ -28,14 +30,14 @@
     record_store& store, configuration_source source, queue_directory& queues)
     : loop(loop)
     , source(std::move(source))
-    , queues(queues)
+    , directory(queues)
+    , confirmed_at(loop.now())
+    , last_check(loop.now())
     , follower(loop, store,
           follow_options{
               this->source.table, {""}, change_wait, milliseconds(0)},
           [this](std::vector<record> const& rows, bool complete)
           { this->apply_rows(rows, complete); })
-    , confirmed_at(loop.now())
-    , last_check(loop.now())
 {
     this->timer = loop.every(check_period, [this] { this->check_delay(); });
 }
@@ -45,11 +47,50 @@
     this->loop.cancel(this->timer);
 }
 
-milliseconds configuration_follower::unconfirmed_for() const
+void configuration_follower::on_adopted(std::function<void()> handler)
+{
+    this->adopted_handler = std::move(handler);
+}
+
+bool configuration_follower::is_confirmed() const
 {
-    return std::chrono::duration_cast<milliseconds>(
-        this->loop.now() -
-        std::max(this->confirmed_at, this->follower.fresh_at()));
+    return this->follower.is_following();
+}
+
+void configuration_follower::adopt(
+    std::string const& document, std::string_view origin)
+{
+    auto configuration = this->source.decode(document);
+    if (!configuration)
+    {
+        log_line("config-unreadable")
+            .with("source", origin)
+            .with("bytes", document.size());
+        return;
+    }
+    std::int64_t previous = this->directory.version();
+    std::int64_t version = configuration->version;
+    std::size_t routes = configuration->routes.size();
+    if (!this->directory.adopt(std::move(*configuration)))
+    {
+        log_line("config-not-newer")
+            .with("version", version)
+            .with("in_force", previous)
+            .with("source", origin);
+        return;
+    }
+    this->current = document;
+    metrics().set("config_version", version);
+    log_line("config-in-force")
+        .with("version", version)
+        .with("previous", previous)
+        .with("routes", routes)
+        .with("source", origin)
+        .with("max_age_ms", to_ms(this->loop.now() - this->confirmed_at));
+    if (this->adopted_handler)
+    {
+        this->adopted_handler();
+    }
 }
 
 void configuration_follower::apply_rows(
@@ -57,37 +98,11 @@
 {
     for (record const& row : rows)
     {
-        if (row.removed || row.at.key != this->source.key)
+        if (!row.removed && row.at.key == this->source.key)
         {
-            continue;
+            this->adopt(
+                row.value, complete ? "store-snapshot" : "store-change");
         }
-        auto configuration = this->source.decode(row.value);
-        if (!configuration)
-        {
-            log_line("config-unreadable").with("row_version", row.version);
-            continue;
-        }
-        std::int64_t previous = this->queues.version();
-        std::int64_t version = configuration->version;
-        std::size_t routes = configuration->routes.size();
-        if (!this->queues.adopt(std::move(*configuration)))
-        {
-            log_line("config-not-newer")
-                .with("version", version)
-                .with("in_force", previous)
-                .with("row_version", row.version);
-            continue;
-        }
-        metrics().set("config_version", version);
-        log_line("config-in-force")
-            .with("version", version)
-            .with("previous", previous)
-            .with("routes", routes)
-            .with("row_version", row.version)
-            .with("source", complete ? "store-snapshot" : "store-change")
-            .with(
-                "call_ms", to_ms(this->loop.now() - this->follower.fresh_at()))
-            .with("max_age_ms", to_ms(this->loop.now() - this->confirmed_at));
     }
 }
 
@@ -102,14 +117,15 @@
     }
     this->confirmed_at =
         std::max(this->confirmed_at, this->follower.fresh_at());
-    auto unconfirmed = this->unconfirmed_for();
+    auto unconfirmed =
+        std::chrono::duration_cast<milliseconds>(now - this->confirmed_at);
     metrics().observe("config_unconfirmed_ms", unconfirmed.count());
     bool is_unconfirmed = unconfirmed > unconfirmed_limit;
     if (is_unconfirmed != this->reported_unconfirmed)
     {
         this->reported_unconfirmed = is_unconfirmed;
         log_line(is_unconfirmed ? "config-unconfirmed" : "config-confirmed")
-            .with("version", this->queues.version())
+            .with("version", this->directory.version())
             .with("unconfirmed_ms", unconfirmed.count());
     }
 }
--- a/src/cell/member_links.cpp
+++ b/src/cell/member_links.cpp
@@ -72,7 +72,7 @@
     std::vector<member_hello> all;
     for (auto const& [name, entry] : this->members)
     {
-        all.push_back({name, entry.link->address()});
+        all.push_back({name, entry.link->address(), 0});
     }
     return all;
 }
--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -90,6 +90,7 @@
 
 void record_follower::read_snapshot()
 {
+    this->scanning = true;
     this->scan_started_at = this->loop.now();
     if (!this->options.parts.empty())
     {
@@ -151,6 +152,7 @@
     }
     this->fresh_time = this->scan_started_at;
     this->complete = true;
+    this->scanning = false;
     std::vector<record> snapshot = std::move(this->snapshot_rows);
     this->snapshot_rows.clear();
     // `request_changes` destroys the scans. Call it from the loop, because one
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -85,6 +85,14 @@
     }
 };
 
+/// Documents of these tests are just a version number.
+std::optional<cell_configuration> decode_version(std::string const& text)
+{
+    cell_configuration result;
+    result.version = std::atoll(text.c_str());
+    return result.version > 0 ? std::optional(result) : std::nullopt;
+}
+
 /// A cell of three instances; its active scheduler is elected on construction.
 class three_instance_cell
 {
@@ -95,6 +103,11 @@
         {
             this->stores.push_back(
                 std::make_unique<disconnectable_store>(this->store));
+            this->queues.push_back(std::make_unique<queue_directory>());
+            this->followers.push_back(std::make_unique<configuration_follower>(
+                this->loop, *this->stores.back(),
+                configuration_source{"op", "config", &decode_version},
+                *this->queues.back()));
             this->nodes.push_back(this->make_node(i));
         }
         this->run_for(milliseconds(3000));
@@ -107,11 +120,12 @@
         settings.failure_domain = "d";
         settings.peer_address = own_ip(index + 10) + ":7500";
         settings.log_decisions = false;
-        cell_node_dependencies parts{this->loop,
-            *this->stores[static_cast<std::size_t>(index)], this->workers,
-            this->policy, this->queues, "workers-listed",
-            [](std::string const&, std::string const&)
-            { return std::optional<worker_entry>(); }};
+        auto own = static_cast<std::size_t>(index);
+        cell_node_dependencies parts{this->loop, *this->stores[own],
+            this->workers, this->policy, *this->followers[own],
+            "workers-listed", [](std::string const&, std::string const&) {
+                return std::optional<worker_entry>();
+            }};
         return std::make_unique<cell_node>(std::move(parts), settings);
     }
 
@@ -147,6 +161,12 @@
         return outcome;
     }
 
+    /// Writes a version of the configuration, as the operator does.
+    void configure(int version)
+    {
+        this->store.set({"op", "", "config"}, std::to_string(version));
+    }
+
     static record_key leader_row_key() { return {"leader", "main", "holder"}; }
 
     static constexpr int count = 3;
@@ -155,8 +175,9 @@
     fake_record_store store{this->loop};
     fake_workers workers{this->loop};
     no_policy policy;
-    queue_directory queues;
     std::vector<std::unique_ptr<disconnectable_store>> stores;
+    std::vector<std::unique_ptr<queue_directory>> queues;
+    std::vector<std::unique_ptr<configuration_follower>> followers;
     std::vector<std::unique_ptr<cell_node>> nodes;
 };
 
@@ -218,3 +239,67 @@
     cr_assert(cell.nodes[0]->can_accept());
     cr_assert(cell.submit(0, "second") == accept_outcome::stored);
 }
+
+Test(cell_node, an_instance_without_the_store_learns_versions_from_the_leader)
+{
+    three_instance_cell cell;
+    std::size_t isolated = (cell.find_leader() + 1) % 3;
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[isolated]->disconnected = true;
+    // Longer than the store may keep a call for changes open.
+    cell.run_for(milliseconds(2000));
+    cell.configure(9);
+    cell.run_for(milliseconds(200));
+    cr_assert(cell.queues[isolated]->version() == 9);
+}
+
+Test(cell_node, a_leader_without_the_store_learns_versions_from_its_members)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[leader]->disconnected = true;
+    cell.run_for(milliseconds(1200));
+    cell.configure(9);
+    cell.run_for(milliseconds(800));
+    cr_assert(cell.queues[leader]->version() == 9);
+}
+
+Test(
+    cell_node, an_instance_without_the_store_learns_versions_after_a_succession)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    std::size_t isolated = (leader + 1) % 3;
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[isolated]->disconnected = true;
+    cell.run_for(milliseconds(1200));
+    cell.nodes[leader].reset();
+    cell.configure(9);
+    // No caller submits anything here: the failing reads alone make the
+    // instance look for the new leader.
+    cell.run_for(milliseconds(4500));
+    cr_assert(cell.queues[isolated]->version() == 9);
+}
+
+Test(cell_node, an_older_version_of_a_peer_replaces_nothing)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[leader]->disconnected = true;
+    cell.run_for(milliseconds(1200));
+    cell.configure(9);
+    for (int i = 0; i < 100; ++i)
+    {
+        cell.run_for(milliseconds(20));
+        for (std::size_t other : {(leader + 1) % 3, (leader + 2) % 3})
+        {
+            cr_assert(cell.queues[other]->version() == 9);
+        }
+    }
+}
