An instance announces a new configuration before jobs accepted under it

Callers may see: a job of a route that was just added is started, and the instance that scheduled it still answers 404 for that route (CONFIG, a version that comes back older).

Cause: a job carries the terms of its queue, so the active scheduler starts it whether or not it has the version under which the job was accepted; it learned that version with the next hello of a member, up to 0.5 s later.

Evidence: a_leader_has_the_version_under_which_a_job_was_accepted fails without the change.

Change: an instance that adopts a version sends its hello at once.

Works because the hello and the announcements of jobs use the same link, in order: the scheduler has asked for the version when it hears of such a job, and notifies the relaying instances over the links that then carry the orders.

--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -93,8 +93,8 @@
     void send_hello();
     void handle_hello(member_hello const& hello);
     void handle_member_list(rpc_result const& result);
-    /// Tells all members, while this instance is the active scheduler, that
-    /// another configuration is in force.
+    /// Tells the active scheduler, or all members while this instance is the
+    /// active scheduler, that another configuration is in force.
     void announce_configuration();
     /// True while this instance has to ask the other instances for the leader.
     /// That is when no active scheduler answers it and the store is
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -166,6 +166,8 @@
 {
     if (!this->members)
     {
+        // Sent before any job that is accepted under the new configuration.
+        this->send_hello();
         return;
     }
     std::string notice =
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -254,6 +254,23 @@
     cr_assert(cell.queues[isolated]->version() == 9);
 }
 
+Test(cell_node, a_leader_has_the_version_under_which_a_job_was_accepted)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[leader]->disconnected = true;
+    cell.run_for(milliseconds(1200));
+    for (int version = 9; version < 14; ++version)
+    {
+        cell.configure(version);
+        // Less than the time between two hellos.
+        cell.run_for(milliseconds(100));
+        cr_assert(cell.queues[leader]->version() == version);
+    }
+}
+
 Test(cell_node, a_leader_without_the_store_learns_versions_from_its_members)
 {
     three_instance_cell cell;
