--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -128,7 +128,7 @@
 
     cell_node_dependencies dependencies;
     cell_settings settings;
-    configuration_exchange configuration;
+    configuration_exchange exchange;
     job_acceptor acceptor;
     std::unique_ptr<rpc_server> server;
     // The link to the active scheduler when that is another instance.
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -35,7 +35,7 @@
     cell_node_dependencies collaborators, cell_settings const& settings)
     : dependencies(std::move(collaborators))
     , settings(settings)
-    , configuration(this->dependencies.loop, this->dependencies.configuration)
+    , exchange(this->dependencies.loop, this->dependencies.configuration)
     , acceptor(this->dependencies.loop, this->dependencies.store, settings.name)
     , relay(this->dependencies.loop, this->dependencies.orders)
 {
@@ -141,7 +141,7 @@
         return;
     }
     member_hello message{this->settings.name, this->settings.peer_address,
-        this->configuration.version()};
+        this->exchange.version()};
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
         [this, alive = this->alive](rpc_result const& result)
@@ -158,7 +158,7 @@
     this->members->handle_hello(hello);
     if (rpc_client* member = this->members->find(hello.name))
     {
-        this->configuration.handle_peer_version(hello.config_version, *member);
+        this->exchange.handle_peer_version(hello.config_version, *member);
     }
 }
 
@@ -170,8 +170,7 @@
         this->send_hello();
         return;
     }
-    std::string notice =
-        pack(configuration_notice{this->configuration.version()});
+    std::string notice = pack(configuration_notice{this->exchange.version()});
     for (member_hello const& each : this->members->list())
     {
         if (rpc_client* member = this->members->find(each.name))
@@ -195,7 +194,7 @@
         this->discovery->add_members(answer.members);
         if (this->leader_client)
         {
-            this->configuration.handle_peer_version(
+            this->exchange.handle_peer_version(
                 answer.config_version, *this->leader_client);
         }
     }
@@ -561,7 +560,7 @@
     if (request.type == message_type::configuration_query)
     {
         respond(message_type::configuration_reply,
-            pack(this->configuration.reply_to(
+            pack(this->exchange.reply_to(
                 unpack<configuration_query>(request.body, peer))));
         return;
     }
@@ -571,7 +570,7 @@
         respond(message_type::ack, {});
         if (this->leader_client)
         {
-            this->configuration.handle_peer_version(
+            this->exchange.handle_peer_version(
                 notice.version, *this->leader_client);
         }
         return;
@@ -589,7 +588,7 @@
         respond(message_type::member_list,
             pack(member_list{this->members->list(),
                 this->election->heartbeat_age().count(),
-                this->configuration.version()}));
+                this->exchange.version()}));
         return;
     case message_type::work_accepted:
     {
