A run whose job is read late is kept, and its worker gets no more work

Cause: a successor reads the table of jobs once, and later jobs reach it by the feed or by an announcement. Until an entry instance learns of the succession it announces its jobs to the predecessor, which starts them until its lease ends. The workers then report runs of jobs that the successor does not know. It stopped these runs, counted them as needing nothing, and settled their completions. The worker counted as free while the run went on, so it was filled beyond its capacity; once the job was read, nothing linked it to the run that was still being stopped, and its task was started elsewhere. A settled success would have been forgotten altogether.

Change: what a worker reports of an unknown job in its first report is held until the job is read, or until the table has been read as of a later time and still lacks it. Meanwhile the worker gets no work. After its first report a worker refuses the predecessor's orders, so a run of an unknown job in a later report is stopped as before.

Why it works: a job is stored before any instance can start it, so a read that began after the report either finds the job or proves its absence.

--- a/include/toucanlever/cell/dispatch_state.hpp
+++ b/include/toucanlever/cell/dispatch_state.hpp
@@ -55,6 +55,8 @@
     std::function<void(std::string const& reason)> on_replaced;
     /// Called when a change may let a waiting step start.
     std::function<void()> on_work_changed;
+    /// All jobs that were stored before this time have been read.
+    std::function<time_point()> jobs_read_until;
     work_registry registry;
     worker_pool pool;
 };
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -9,8 +9,11 @@
 #include "toucanlever/core/clock.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace toucanlever
 {
@@ -44,6 +47,9 @@
 {
     std::uint64_t run = 0;
     resources need;
+    /// False while the job of a reported run has not been read from the store;
+    /// `need` is zero then.
+    bool need_known = true;
     allocation_phase phase = allocation_phase::reserved;
     /// Whether and when the worker confirmed the last order for the run. Task
     /// lists requested from the worker after `confirmed_at` must contain the
@@ -89,13 +95,15 @@
     time_point quarantined_until{};
     // Invariant: free + needs of all allocations == entry.capacity.
     std::map<task_id, task_allocation> allocations;
+    // Invariant: the number of allocations whose need is not known.
+    std::uint32_t unknown_needs = 0;
 
     /// True when new work may be placed on it now.
     bool is_usable(time_point now) const
     {
         return this->reconciled && this->recorded && !this->silent &&
                !this->unlisted && !this->entry.leaving &&
-               now >= this->quarantined_until;
+               this->unknown_needs == 0 && now >= this->quarantined_until;
     }
 };
 
@@ -107,7 +115,7 @@
 
     /// Adds or updates a worker; its allocations are kept.
     pool_worker& put(worker_entry const& entry);
-    void remove(std::string const& id) { this->by_id.erase(id); }
+    void remove(std::string const& id);
 
     pool_worker* find(std::string const& id);
     pool_worker const* find(std::string const& id) const;
@@ -121,15 +129,25 @@
     task_allocation& allocate(pool_worker& worker, task_id const& task,
         task_allocation const& wanted, bool already_running = false);
 
+    /// Sets the need of an allocation that was made before its job was known.
+    void set_need(
+        pool_worker& worker, task_id const& task, resources const& need);
+
     /// Releases the allocation of a task; false when it has none.
     bool release(std::string const& worker, task_id const& task);
 
+    /// The tasks of a job that have an allocation, each with its worker.
+    std::vector<std::pair<task_id, std::string>> allocations_of(
+        std::string const& job) const;
+
     /// Updates the worker's health with the outcome of a run.
     void record_outcome(
         std::string const& worker, bool succeeded, time_point now);
 
 private:
     worker_map by_id;
+    // All allocations, by task.
+    std::set<std::pair<task_id, std::string>> holders;
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -4,7 +4,9 @@
 
 #include "toucanlever/cell/task_orders.hpp"
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace toucanlever
 {
@@ -23,28 +25,49 @@
     void on_lost(worker_lease& lease, std::string const& reason) override;
     void on_fenced(worker_lease& lease) override;
 
+    /// Applies the runs and completions that workers reported before the job
+    /// was known.
+    void on_job_known(std::string const& job);
+
 private:
+    /// A completion of a job that is not known yet.
+    struct early_completion
+    {
+        std::string worker;
+        completed_run completion;
+        time_point reported_at{};
+    };
+
     /// Releases the allocations of the worker's previous incarnation, except
     /// those whose start may still reach the new one: these runs are stopped.
     void handle_restart(worker_lease& lease);
     void handle_completion(
         worker_lease& lease, completed_run const& completion);
     void keep_checkpoint(completed_run const& completion);
-    /// Updates the step and the job of a known task. `counts` is true when the
-    /// run succeeded or failed, and was not merely stopped.
+    /// Updates the step and the job of a known task, or settles the completion
+    /// when there is nothing to record.
     void apply_completion(
-        worker_lease& lease, completed_run const& completion, bool counts);
+        std::string const& worker, completed_run const& completion);
+    void settle_completion(std::string const& worker, std::int64_t number);
     void on_job_ended(std::string const& id);
-    void record_completion(
-        worker_lease& lease, completed_run const& completion, bool job_ended);
+    void record_completion(std::string const& worker,
+        completed_run const& completion, bool job_ended);
     /// Matches the worker's allocations with the runs that it reports. A
     /// confirmed run that a complete report does not list is treated as lost.
     void reconcile(
         pool_worker& worker, watch_result const& report, time_point asked_at);
-    /// Allocates capacity for a reported run that has no allocation. Stops the
-    /// run unless its job is open, its task is waiting and no later run of the
-    /// task is known.
+    /// Allocates capacity for a reported run that has no allocation. A run
+    /// whose job may not have been read yet is left alone for now.
     void adopt_run(pool_worker& worker, running_task const& running);
+    /// Keeps a run that was found, or stops it unless its job is open, its task
+    /// is waiting and no later run of the task is known.
+    void keep_or_stop(pool_worker& worker, task_id const& task);
+    /// True when a job that is not known cannot have been stored before this
+    /// time.
+    bool is_job_absent(std::string const& job, time_point reported_at) const;
+    /// Stops the worker's runs, and settles its completions, whose jobs turned
+    /// out not to exist.
+    void drop_runs_of_absent_jobs(pool_worker& worker);
     /// Releases the allocations on a lost worker. With `starts_may_arrive`,
     /// those whose start may still be carried out there are kept.
     void release_lost_allocations(std::string const& id,
@@ -54,6 +77,8 @@
     worker_roster& roster;
     task_orders& orders;
     completion_journal& journal;
+    // By job.
+    std::map<std::string, std::vector<early_completion>> early_completions;
 };
 
 } // namespace toucanlever
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -22,7 +22,8 @@
 dispatcher::dispatcher(dispatcher_dependencies collaborators,
     leader_proof proof, std::function<void(std::string const&)> on_replaced)
     : state{std::move(collaborators), proof, std::move(on_replaced),
-          [this] { this->planner.schedule_pass(); }, {}, {}}
+          [this] { this->planner.schedule_pass(); },
+          [this] { return this->job_follower->fresh_at(); }, {}, {}}
     , cleaner(this->state.dependencies.loop, this->state.dependencies.store)
     , journal(
           this->state.dependencies.loop, this->state.dependencies.store, proof,
@@ -145,6 +146,7 @@
             this->state.dependencies.loop.now()))
     {
         metrics().count("jobs_accepted");
+        this->reports.on_job_known(id);
         if (this->pending_cancellations.erase(id) > 0)
         {
             this->cancel(id);
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -27,6 +27,20 @@
     return worker;
 }
 
+void worker_pool::remove(std::string const& id)
+{
+    auto found = this->by_id.find(id);
+    if (found == this->by_id.end())
+    {
+        return;
+    }
+    for (auto const& [task, allocation] : found->second.allocations)
+    {
+        this->holders.erase({task, id});
+    }
+    this->by_id.erase(found);
+}
+
 pool_worker* worker_pool::find(std::string const& id)
 {
     auto found = this->by_id.find(id);
@@ -53,9 +67,21 @@
             "the task already has an allocation on this worker");
     }
     worker.free -= wanted.need;
+    worker.unknown_needs += wanted.need_known ? 0 : 1;
+    this->holders.insert({task, worker.entry.id});
     return place->second;
 }
 
+void worker_pool::set_need(
+    pool_worker& worker, task_id const& task, resources const& need)
+{
+    task_allocation& allocation = worker.allocations.at(task);
+    worker.free += allocation.need - need;
+    worker.unknown_needs -= allocation.need_known ? 0 : 1;
+    allocation.need = need;
+    allocation.need_known = true;
+}
+
 bool worker_pool::release(std::string const& worker, task_id const& task)
 {
     pool_worker* target = this->find(worker);
@@ -69,10 +95,24 @@
         return false;
     }
     target->free += found->second.need;
+    target->unknown_needs -= found->second.need_known ? 0 : 1;
     target->allocations.erase(found);
+    this->holders.erase({task, worker});
     return true;
 }
 
+std::vector<std::pair<task_id, std::string>> worker_pool::allocations_of(
+    std::string const& job) const
+{
+    std::vector<std::pair<task_id, std::string>> found;
+    for (auto each = this->holders.lower_bound({task_id{{job, 0, 0}, 0}, {}});
+         each != this->holders.end() && each->first.step.job == job; ++each)
+    {
+        found.push_back(*each);
+    }
+    return found;
+}
+
 void worker_pool::record_outcome(
     std::string const& worker, bool succeeded, time_point now)
 {
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -38,6 +38,7 @@
         this->handle_completion(lease, completion);
     }
     this->reconcile(worker, report, asked_at);
+    this->drop_runs_of_absent_jobs(worker);
     worker.reconciled = true;
     this->roster.note_reconciled(id);
     this->state.on_work_changed();
@@ -148,17 +149,16 @@
             .with("worker", id)
             .with("how", name_of(completion.outcome));
     }
-    bool counts = completion.outcome == run_outcome::succeeded ||
-                  completion.outcome == run_outcome::failed;
-    if (this->state.registry.find(completion.task) == nullptr || !counts)
-    {
-        lease.settle_completion(completion.number);
-    }
-    if (this->state.registry.find(completion.task) != nullptr)
+    // Only an earlier scheduler can have started a run of a job that is not
+    // known yet, and the worker refuses its orders after its first report.
+    if (this->state.registry.find(completion.task.step.job) == nullptr &&
+        !worker.reconciled)
     {
-        this->keep_checkpoint(completion);
-        this->apply_completion(lease, completion, counts);
+        this->early_completions[completion.task.step.job].push_back(
+            {id, completion, this->state.dependencies.loop.now()});
+        return;
     }
+    this->apply_completion(id, completion);
 }
 
 void worker_reports::keep_checkpoint(completed_run const& completion)
@@ -180,18 +180,39 @@
     }
 }
 
+void worker_reports::settle_completion(
+    std::string const& worker, std::int64_t number)
+{
+    if (worker_lease* lease = this->roster.find_lease(worker))
+    {
+        lease->settle_completion(number);
+    }
+}
+
 void worker_reports::apply_completion(
-    worker_lease& lease, completed_run const& completion, bool counts)
+    std::string const& worker, completed_run const& completion)
 {
+    bool counts = completion.outcome == run_outcome::succeeded ||
+                  completion.outcome == run_outcome::failed;
+    bool known = this->state.registry.find(completion.task) != nullptr;
+    if (!known || !counts)
+    {
+        this->settle_completion(worker, completion.number);
+    }
+    if (!known)
+    {
+        return;
+    }
+    this->keep_checkpoint(completion);
     completion_effect effect;
     if (counts)
     {
         time_point now = this->state.dependencies.loop.now();
-        this->state.pool.record_outcome(lease.target().id,
-            completion.outcome == run_outcome::succeeded, now);
+        this->state.pool.record_outcome(
+            worker, completion.outcome == run_outcome::succeeded, now);
         effect = this->state.registry.record_completion(
             completion.task, completion.run, completion.outcome, now);
-        this->record_completion(lease, completion, effect.job_ended);
+        this->record_completion(worker, completion, effect.job_ended);
     }
     if (effect.job_ended)
     {
@@ -217,14 +238,14 @@
 }
 
 void worker_reports::record_completion(
-    worker_lease& lease, completed_run const& completion, bool job_ended)
+    std::string const& worker, completed_run const& completion, bool job_ended)
 {
     if (job_ended)
     {
         this->state.registry.find(completion.task.step.job)->durable = false;
     }
     this->journal.append({completion.task, completion.run, completion.outcome},
-        [this, worker = lease.target().id, number = completion.number,
+        [this, worker, number = completion.number,
             job = completion.task.step.job, job_ended]
         {
             registry_job* found = this->state.registry.find(job);
@@ -232,11 +253,7 @@
             {
                 found->durable = true;
             }
-            worker_lease* current = this->roster.find_lease(worker);
-            if (current != nullptr)
-            {
-                current->settle_completion(number);
-            }
+            this->settle_completion(worker, number);
         });
 }
 
@@ -291,35 +308,118 @@
 
 void worker_reports::adopt_run(pool_worker& worker, running_task const& running)
 {
-    registry_job* job = this->state.registry.find(running.task.step.job);
-    registry_step* step = this->state.registry.find(running.task.step);
-    registry_task* task = this->state.registry.find(running.task);
-    bool keep_run = task != nullptr && job->open() && task->is_waiting() &&
-                    running.run >= task->run;
+    bool job_known =
+        this->state.registry.find(running.task.step.job) != nullptr;
     task_allocation allocation;
     allocation.run = running.run;
     allocation.phase = allocation_phase::running;
     allocation.confirmed = true;
     allocation.confirmed_at = this->state.dependencies.loop.now();
-    if (step != nullptr)
+    allocation.need_known = job_known;
+    this->state.pool.allocate(worker, running.task, allocation, true);
+    if (job_known || worker.reconciled)
     {
-        allocation.need = step->spec->capacity_need();
+        this->keep_or_stop(worker, running.task);
+        return;
     }
-    this->state.pool.allocate(worker, running.task, allocation, true);
-    log_line("run-found")
+    log_line("run-of-unknown-job")
         .with("task", to_string(running.task))
         .with("run", running.run)
+        .with("worker", worker.entry.id);
+    metrics().count("runs_of_unknown_jobs");
+}
+
+void worker_reports::keep_or_stop(pool_worker& worker, task_id const& id)
+{
+    registry_job* job = this->state.registry.find(id.step.job);
+    registry_step* step = this->state.registry.find(id.step);
+    registry_task* task = this->state.registry.find(id);
+    std::uint64_t run = worker.allocations.at(id).run;
+    if (step != nullptr)
+    {
+        this->state.pool.set_need(worker, id, step->spec->capacity_need());
+    }
+    bool waiting = task != nullptr && job->open() && task->is_waiting();
+    bool keep_run = waiting && run >= task->run;
+    log_line("run-found")
+        .with("task", to_string(id))
+        .with("run", run)
         .with("worker", worker.entry.id)
         .with("kept", keep_run ? 1 : 0);
     if (!keep_run)
     {
-        this->orders.send_stop(worker.entry.id, running.task);
+        this->orders.send_stop(worker.entry.id, id);
         return;
     }
+    this->state.registry.mark_placed(id, run, worker.entry.id);
     this->state.registry.mark_started(*job);
     job->state = work_state::running;
-    this->state.registry.mark_placed(
-        running.task, running.run, worker.entry.id);
+}
+
+void worker_reports::on_job_known(std::string const& job)
+{
+    auto early = this->early_completions.extract(job);
+    if (early)
+    {
+        for (early_completion const& each : early.mapped())
+        {
+            this->apply_completion(each.worker, each.completion);
+        }
+    }
+    for (auto const& [task, worker] : this->state.pool.allocations_of(job))
+    {
+        pool_worker& holder = *this->state.pool.find(worker);
+        if (!holder.allocations.at(task).need_known)
+        {
+            this->keep_or_stop(holder, task);
+        }
+    }
+}
+
+bool worker_reports::is_job_absent(
+    std::string const& job, time_point reported_at) const
+{
+    return this->state.registry.find(job) == nullptr &&
+           this->state.jobs_read_until() > reported_at;
+}
+
+void worker_reports::drop_runs_of_absent_jobs(pool_worker& worker)
+{
+    std::vector<task_id> absent;
+    if (worker.unknown_needs > 0)
+    {
+        for (auto const& [task, allocation] : worker.allocations)
+        {
+            if (!allocation.need_known &&
+                allocation.phase == allocation_phase::running &&
+                this->is_job_absent(task.step.job, allocation.confirmed_at))
+            {
+                absent.push_back(task);
+            }
+        }
+    }
+    for (task_id const& task : absent)
+    {
+        this->keep_or_stop(worker, task);
+    }
+    for (auto entry = this->early_completions.begin();
+         entry != this->early_completions.end();)
+    {
+        std::vector<early_completion>& early = entry->second;
+        std::erase_if(early,
+            [this, &job = entry->first](early_completion const& each)
+            {
+                bool is_absent = this->is_job_absent(job, each.reported_at);
+                if (is_absent)
+                {
+                    this->settle_completion(
+                        each.worker, each.completion.number);
+                }
+                return is_absent;
+            });
+        entry = early.empty() ? this->early_completions.erase(entry)
+                              : std::next(entry);
+    }
 }
 
 } // namespace toucanlever
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -476,6 +476,77 @@
     cr_assert(fixture.state_of("a") == work_state::running);
 }
 
+Test(dispatcher, a_run_whose_job_is_read_late_is_kept_and_not_started_again)
+{
+    cell_fixture fixture;
+    fixture.run_one_task();
+    fixture.end_term();
+    task_id const task{{"late", 0, 0}, 0};
+    fixture.workers.workers["w1"].running[task] = 1;
+    fixture.begin_term();
+    fixture.submit("late", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(task) == 0U);
+    cr_assert(fixture.workers.workers["w1"].running.contains(task));
+    cr_assert(fixture.state_of("late") == work_state::running);
+    fixture.workers.end_run("w1", task, run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.state_of("late") == work_state::succeeded);
+}
+
+Test(dispatcher, a_worker_gets_no_work_while_it_runs_tasks_of_an_unknown_job)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.end_term();
+    for (std::uint32_t i = 0; i < 4; ++i)
+    {
+        fixture.workers.workers["w0"].running[{{"late", 0, 0}, i}] = 1;
+    }
+    fixture.submit("other", 1);
+    fixture.begin_term();
+    cr_assert(fixture.workers.running_count() == 4U);
+    fixture.submit("late", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.all_starts.empty());
+    fixture.workers.end_run("w0", {{"late", 0, 0}, 1}, run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"other", 0, 0}, 0}) == 1U);
+}
+
+Test(dispatcher, a_completion_whose_job_is_read_late_is_recorded)
+{
+    cell_fixture fixture;
+    fixture.run_one_task();
+    fixture.end_term();
+    fake_cell_worker& worker = fixture.workers.workers["w1"];
+    task_id const task{{"late", 0, 0}, 0};
+    worker.running[task] = 1;
+    fixture.workers.end_run("w1", task, run_outcome::succeeded);
+    fixture.begin_term();
+    cr_assert(worker.acknowledged < worker.last_number);
+    fixture.submit("late", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(task) == 0U);
+    cr_assert(fixture.state_of("late") == work_state::succeeded);
+    cr_assert(worker.acknowledged == worker.last_number);
+}
+
+Test(dispatcher, runs_and_completions_of_a_job_that_does_not_exist_are_dropped)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.end_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.running[{{"x", 0, 0}, 0}] = 1;
+    worker.running[{{"x", 0, 0}, 1}] = 1;
+    fixture.workers.end_run("w0", {{"x", 0, 0}, 1}, run_outcome::succeeded);
+    fixture.begin_term();
+    fixture.run_for(4 * second);
+    cr_assert(fixture.workers.running_count() == 0U);
+    cr_assert(worker.acknowledged == worker.last_number);
+}
+
 Test(dispatcher, waiting_gangs_leave_most_workers_to_other_jobs)
 {
     constexpr int workers = 16;
