A durable completion settles none of the worker's next incarnation

Callers may see a task that has ended run again (TWICE).

Cause: completions are numbered from 1 in each incarnation of a worker. When a worker restarted while a completion was being written to the store, the end of that write settled the completion with the same number of the new incarnation. It was acknowledged although it was not durable; had the leader then been replaced, its successor would have started the task again.

Change: the lease hands out receipts that name the incarnation.

--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -16,6 +16,14 @@
 
 class worker_lease;
 
+/// Names a completion: numbers start anew with each incarnation of a worker.
+struct completion_receipt
+{
+    // Of the lease and the incarnation to which the number belongs.
+    std::weak_ptr<void> numbering;
+    std::int64_t number = 0;
+};
+
 /// Receives the events of one worker; called on the loop's thread. The lease
 /// may be destroyed from within a call.
 class worker_lease_listener
@@ -62,7 +70,10 @@
 
     /// Records that the completion with this number was received. It is
     /// acknowledged to the worker once it and all earlier ones are settled.
-    void note_completion(std::int64_t number);
+    completion_receipt note_completion(std::int64_t number);
+    /// No effect when the receipt is of an earlier incarnation.
+    void settle_completion(completion_receipt const& receipt);
+    /// Settles a completion of the current incarnation.
     void settle_completion(std::int64_t number);
     std::int64_t last_completion_number() const
     {
@@ -104,6 +115,8 @@
     std::int64_t last_number_seen = 0;
     // All completions up to this number are settled.
     std::int64_t acknowledged = 0;
+    // Replaced with each incarnation of the worker.
+    std::shared_ptr<void> numbering = std::make_shared<bool>();
     // By completion number: true when settled. A settled completion is removed
     // once all earlier ones are settled.
     std::map<std::int64_t, bool> unsettled;
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -46,6 +46,7 @@
     struct early_completion
     {
         std::string worker;
+        completion_receipt receipt;
         completed_run completion;
         time_point reported_at{};
     };
@@ -58,12 +59,14 @@
     void keep_checkpoint(completed_run const& completion);
     /// Updates the step and the job of a known task, or settles the completion
     /// when there is nothing to record.
-    void apply_completion(
-        std::string const& worker, completed_run const& completion);
-    void settle_completion(std::string const& worker, std::int64_t number);
+    void apply_completion(std::string const& worker,
+        completion_receipt const& receipt, completed_run const& completion);
+    void settle_completion(
+        std::string const& worker, completion_receipt const& receipt);
     void on_job_ended(std::string const& id);
     void record_completion(std::string const& worker,
-        completed_run const& completion, bool job_ended);
+        completion_receipt const& receipt, completed_run const& completion,
+        bool job_ended);
     /// Matches the worker's allocations with the runs that it reports. A
     /// confirmed run that a complete report does not list is treated as lost.
     void reconcile(
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -188,10 +188,19 @@
     }
 }
 
-void worker_lease::note_completion(std::int64_t number)
+completion_receipt worker_lease::note_completion(std::int64_t number)
 {
     this->last_number_seen = std::max(this->last_number_seen, number);
     this->unsettled.emplace(number, false);
+    return {this->numbering, number};
+}
+
+void worker_lease::settle_completion(completion_receipt const& receipt)
+{
+    if (receipt.numbering.lock() == this->numbering)
+    {
+        this->settle_completion(receipt.number);
+    }
 }
 
 void worker_lease::settle_completion(std::int64_t number)
@@ -218,6 +227,7 @@
     this->last_number_seen = 0;
     this->acknowledged = 0;
     this->unsettled.clear();
+    this->numbering = std::make_shared<bool>();
     this->granted_until = 0;
 }
 
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -166,7 +166,7 @@
     {
         return;
     }
-    lease.note_completion(completion.number);
+    completion_receipt const receipt = lease.note_completion(completion.number);
     std::string const& id = lease.target().id;
     pool_worker& worker = *this->state.pool.find(id);
     auto allocation = worker.allocations.find(completion.task);
@@ -189,10 +189,10 @@
         !worker.reconciled)
     {
         this->early_completions[completion.task.step.job].push_back(
-            {id, completion, this->state.dependencies.loop.now()});
+            {id, receipt, completion, this->state.dependencies.loop.now()});
         return;
     }
-    this->apply_completion(id, completion);
+    this->apply_completion(id, receipt, completion);
 }
 
 void worker_reports::keep_checkpoint(completed_run const& completion)
@@ -215,23 +215,23 @@
 }
 
 void worker_reports::settle_completion(
-    std::string const& worker, std::int64_t number)
+    std::string const& worker, completion_receipt const& receipt)
 {
     if (worker_lease* lease = this->roster.find_lease(worker))
     {
-        lease->settle_completion(number);
+        lease->settle_completion(receipt);
     }
 }
 
-void worker_reports::apply_completion(
-    std::string const& worker, completed_run const& completion)
+void worker_reports::apply_completion(std::string const& worker,
+    completion_receipt const& receipt, completed_run const& completion)
 {
     bool counts = completion.outcome == run_outcome::succeeded ||
                   completion.outcome == run_outcome::failed;
     bool known = this->state.registry.find(completion.task) != nullptr;
     if (!known || !counts)
     {
-        this->settle_completion(worker, completion.number);
+        this->settle_completion(worker, receipt);
     }
     if (!known)
     {
@@ -246,7 +246,7 @@
             worker, completion.outcome == run_outcome::succeeded, now);
         effect = this->state.registry.record_completion(
             completion.task, completion.run, completion.outcome, now);
-        this->record_completion(worker, completion, effect.job_ended);
+        this->record_completion(worker, receipt, completion, effect.job_ended);
     }
     if (effect.job_ended)
     {
@@ -271,23 +271,23 @@
     }
 }
 
-void worker_reports::record_completion(
-    std::string const& worker, completed_run const& completion, bool job_ended)
+void worker_reports::record_completion(std::string const& worker,
+    completion_receipt const& receipt, completed_run const& completion,
+    bool job_ended)
 {
     if (job_ended)
     {
         this->state.registry.find(completion.task.step.job)->durable = false;
     }
     this->journal.append({completion.task, completion.run, completion.outcome},
-        [this, worker, number = completion.number,
-            job = completion.task.step.job, job_ended]
+        [this, worker, receipt, job = completion.task.step.job, job_ended]
         {
             registry_job* found = this->state.registry.find(job);
             if (job_ended && found != nullptr)
             {
                 found->durable = true;
             }
-            this->settle_completion(worker, number);
+            this->settle_completion(worker, receipt);
         });
 }
 
@@ -401,7 +401,7 @@
     {
         for (early_completion const& each : early.mapped())
         {
-            this->apply_completion(each.worker, each.completion);
+            this->apply_completion(each.worker, each.receipt, each.completion);
         }
     }
     for (auto const& [task, worker] : this->state.pool.allocations_of(job))
@@ -450,8 +450,7 @@
                 bool is_absent = this->is_job_absent(job, each.reported_at);
                 if (is_absent)
                 {
-                    this->settle_completion(
-                        each.worker, each.completion.number);
+                    this->settle_completion(each.worker, each.receipt);
                 }
                 return is_absent;
             });
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -642,6 +642,33 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+Test(dispatcher, a_durable_completion_settles_none_of_the_next_incarnation)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("a", 2);
+    fixture.run_for(second);
+    fixture.store.transaction_time = milliseconds(300);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    fixture.workers.end_run("w0", first_task, run_outcome::succeeded);
+    fixture.run_for(milliseconds(100));
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    task_id const second_task{{"a", 0, 0}, 1};
+    while (not worker.running.contains(second_task))
+    {
+        fixture.run_for(milliseconds(10));
+    }
+    fixture.workers.end_run("w0", second_task, run_outcome::succeeded);
+    fixture.run_for(milliseconds(350));
+    // Only the completion of the first task is durable.
+    cr_assert(fixture.state_of("a") == work_state::running);
+    cr_assert(worker.acknowledged == 0);
+    fixture.run_for(second);
+    cr_assert(fixture.state_of("a") == work_state::succeeded);
+    cr_assert(worker.acknowledged == 1);
+}
+
 Test(dispatcher, a_lease_that_reached_the_next_incarnation_is_waited_for)
 {
     cell_fixture fixture(1);
