The end of a held run is recorded once its job is read

Callers may see a task that has ended run again (TWICE).

Cause: a run of a job that is not known yet is held, but if it ended before the job was read, its completion came in a later report, was acknowledged to the worker and forgotten; the task was then started again.

Evidence: found in review; a probe with the sequence of a_run_that_ends_before_its_job_is_read_is_recorded saw the completion acknowledged and a second start.

Change: completions of held runs are held as well.

--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -170,6 +170,8 @@
     std::string const& id = lease.target().id;
     pool_worker& worker = *this->state.pool.find(id);
     auto allocation = worker.allocations.find(completion.task);
+    bool was_held = allocation != worker.allocations.end() &&
+                    !allocation->second.need_known;
     if (allocation != worker.allocations.end() &&
         allocation->second.run <= completion.run)
     {
@@ -186,7 +188,7 @@
     // Only an earlier scheduler can have started a run of a job that is not
     // known yet, and the worker refuses its orders after its first report.
     if (this->state.registry.find(completion.task.step.job) == nullptr &&
-        !worker.reconciled)
+        (!worker.reconciled || was_held))
     {
         this->early_completions[completion.task.step.job].push_back(
             {id, receipt, completion, this->state.dependencies.loop.now()});
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -782,6 +782,24 @@
     cr_assert(worker.acknowledged == worker.last_number);
 }
 
+Test(dispatcher, a_run_that_ends_before_its_job_is_read_is_recorded)
+{
+    cell_fixture fixture;
+    fixture.run_one_task();
+    fixture.end_term();
+    task_id const task{{"late", 0, 0}, 0};
+    fake_cell_worker& worker = fixture.workers.workers["w1"];
+    worker.running[task] = 1;
+    fixture.begin_term();
+    fixture.workers.end_run("w1", task, run_outcome::succeeded);
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.acknowledged == 0);
+    fixture.submit("late", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(task) == 0U);
+    cr_assert(fixture.state_of("late") == work_state::succeeded);
+}
+
 Test(dispatcher, runs_and_completions_of_a_job_that_does_not_exist_are_dropped)
 {
     cell_fixture fixture(1);
