The first report of a restarted worker may name unknown jobs too

Callers may see a task that has ended run again (TWICE).

Cause: what a worker reports of unknown jobs was held only in its first report of the term. A restarted worker has seen no fencing token, so it may have carried out orders of an earlier scheduler as well.

Evidence: found in review; in a probe the completion was acknowledged and forgotten.

Change: a restart makes the next report a first report.

--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -92,6 +92,8 @@
     // The new incarnation has seen no stop and no fencing token, so it would
     // carry out orders that were sent to the old one and are still in flight.
     lease.assume_earlier_grants();
+    // Its first report may list what an earlier scheduler started.
+    this->state.pool.find(lease.target().id)->reconciled = false;
     for (auto& [task, allocation] :
         this->state.pool.find(lease.target().id)->allocations)
     {
@@ -186,7 +188,8 @@
             .with("how", name_of(completion.outcome));
     }
     // Only an earlier scheduler can have started a run of a job that is not
-    // known yet, and the worker refuses its orders after its first report.
+    // known yet, and an incarnation of a worker refuses its orders after its
+    // first report.
     if (this->state.registry.find(completion.task.step.job) == nullptr &&
         (!worker.reconciled || was_held))
     {
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -800,6 +800,23 @@
     cr_assert(fixture.state_of("late") == work_state::succeeded);
 }
 
+Test(dispatcher, a_completion_of_an_unknown_job_on_a_restarted_worker_is_held)
+{
+    cell_fixture fixture(1);
+    fixture.run_one_task();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    task_id const task{{"late", 0, 0}, 0};
+    worker.running[task] = 1;
+    fixture.workers.end_run("w0", task, run_outcome::succeeded);
+    fixture.run_for(milliseconds(200));
+    cr_assert(worker.acknowledged == 0);
+    fixture.submit("late", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(task) == 0U);
+}
+
 Test(dispatcher, runs_and_completions_of_a_job_that_does_not_exist_are_dropped)
 {
     cell_fixture fixture(1);
