A task under which two workers crashed is given up

Cause: nothing counted crashes. A run that was lost with its worker only returned its task to the waiting ones.

A step with such a task is a suspect: it runs on workers that have tasks of no other job; workers are kept for suspects that find none. A job fails after the second crash under one of its tasks, if no other job had a task on the worker in one of them. A lease that expired is no crash, nor is the end of a worker that leaves.

Why it works: the second crash happens in isolation, so it names its culprit and makes no new suspects. A successor replays the counts; crashes that a scheduler could not record before it ended leave three starts of room.

An incarnation with another id carries no late order out, because orders name the incarnation; so the starts in doubt on its predecessor are released at once, and only after a restart under the same id, or an expired lease, they are kept.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -59,6 +59,20 @@
     /// Holds back chosen workers for which no ticket can be requested now.
     void hold_back_chosen(std::vector<std::string> const& chosen);
     void hold_back(pool_worker& worker);
+    /// Keeps workers for suspect tasks that found none without other tasks.
+    void keep_for_isolation(
+        registry_step const& step, placement_request const& request);
+    /// How many workers like this one the request needs at the same time.
+    std::size_t workers_for(
+        pool_worker const& worker, placement_request const& request) const;
+    /// True when the worker may run the step, given what it runs already.
+    bool accepts(pool_worker const& worker, registry_step const& step) const
+    {
+        return !this->is_held_back(worker) &&
+               worker.accepts(step.id.job, step.is_suspect());
+    }
+    /// Ends the keeping of workers that no waiting task needs.
+    void release_kept_workers();
     /// True while workers may be held back for another step in this pass.
     bool may_hold_back() const;
     bool is_held_back(pool_worker const& worker) const
@@ -86,6 +100,8 @@
     std::uint64_t pass = 0;
     // Workers held back in this pass.
     std::size_t held_back_workers = 0;
+    // Workers that suspect tasks lack in this pass.
+    std::size_t isolation_demand = 0;
     // False after destruction; callbacks that may run later check it.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/include/toucanlever/cell/task_orders.hpp
+++ b/include/toucanlever/cell/task_orders.hpp
@@ -50,6 +50,10 @@
     /// unless it has succeeded or has an allocation on another worker.
     void release_task(std::string const& worker, task_id const& task);
 
+    /// The second half of `release_task`, for an allocation that was released
+    /// from the pool already: the task waits again.
+    void return_task(std::string const& worker, task_id const& task);
+
 private:
     void on_start_unconfirmed(task_id const& task, std::uint64_t run,
         std::string const& worker, order_result const& result);
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -194,7 +194,9 @@
     /// Another task of its gang ended.
     gang_broken,
     /// The other tasks of its gang did not start.
-    gang_incomplete
+    gang_incomplete,
+    /// The worker crashed while it ran or may have run.
+    worker_crashed
 };
 
 template <>
@@ -206,7 +208,8 @@
         row{run_outcome::stopped, "stopped"},
         row{run_outcome::lapsed, "lapsed"},
         row{run_outcome::gang_broken, "gang-broken"},
-        row{run_outcome::gang_incomplete, "gang-incomplete"}};
+        row{run_outcome::gang_incomplete, "gang-incomplete"},
+        row{run_outcome::worker_crashed, "worker-crashed"}};
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -53,6 +53,16 @@
     time_point retry_at{};
 };
 
+/// The worker crashes under the runs of one task, or of one gang.
+struct crash_history
+{
+    /// Runs during which a worker crashed. A crash may be recorded by two
+    /// schedulers; each run counts once.
+    std::set<std::uint64_t> runs;
+    /// During one of them no other job had a task on the worker.
+    bool isolated = false;
+};
+
 /// State of one step of one occurrence.
 struct registry_step
 {
@@ -64,11 +74,19 @@
     std::uint32_t waiting = 0;
     /// For a gang, which fails as a whole: runs in which a task failed.
     std::set<std::uint64_t> failed_runs;
+    /// By task index; a gang has one entry, with index 0. Tasks under which no
+    /// worker crashed have none.
+    std::map<std::uint32_t, crash_history> crashes;
     step_advice advice;
     /// When the step first became ready.
     time_point ready_at{};
 
     bool done() const { return this->succeeded == this->tasks.size(); }
+
+    /// A task of the step may be the cause of a worker's crash. All its tasks
+    /// that are started from now on run isolated from other jobs, but not from
+    /// each other, because their job fails as a whole.
+    bool is_suspect() const { return !this->crashes.empty(); }
 };
 
 /// State of one job.
@@ -158,6 +176,13 @@
     completion_effect record_completion(task_id const& task, std::uint64_t run,
         run_outcome outcome, time_point now);
 
+    /// Records that a worker crashed while the run was, or may have been, on
+    /// it. `isolated` means that no other job had a task there. The job fails
+    /// after a second crash under one of its tasks, once it was isolated in
+    /// one.
+    completion_effect record_crash(
+        task_id const& task, std::uint64_t run, bool isolated, time_point now);
+
     /// Cancels the job; false when it is unknown or has ended.
     bool cancel(std::string const& job, time_point now);
 
--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -24,6 +24,24 @@
     std::int64_t number = 0;
 };
 
+/// Why all runs on a worker have certainly ended.
+enum class loss_cause
+{
+    /// Its lease has expired; the worker may only be unreachable.
+    lease_expired,
+    /// Another incarnation answers in its place.
+    other_incarnation
+};
+
+template <>
+struct enum_table<loss_cause>
+{
+    using row = enum_name<loss_cause>;
+    static constexpr std::array rows{
+        row{loss_cause::lease_expired, "lease-expired"},
+        row{loss_cause::other_incarnation, "other-incarnation"}};
+};
+
 /// Receives the events of one worker; called on the loop's thread. The lease
 /// may be destroyed from within a call.
 class worker_lease_listener
@@ -41,7 +59,8 @@
 
     /// All runs on the worker have certainly ended: its lease has expired, or
     /// the worker has restarted.
-    virtual void on_lost(worker_lease& lease, std::string const& reason) = 0;
+    virtual void on_lost(
+        worker_lease& lease, loss_cause cause, std::string const& reason) = 0;
 
     /// The worker refused a call because it has seen a higher fencing token.
     virtual void on_fenced(worker_lease& lease) = 0;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -63,6 +63,16 @@
     /// Number of orders that got no answer.
     std::uint32_t unanswered_orders = 0;
     bool order_pending = false;
+    /// A report has listed the run, so it has outlived its start.
+    bool seen_running = false;
+    /// The worker runs no tasks of other jobs beside it.
+    bool isolated = false;
+
+    /// True when an order to start the run was sent, so that it may have run.
+    bool may_have_run() const
+    {
+        return this->phase != allocation_phase::reserved;
+    }
 
     /// True when an unconfirmed start may still be executed by the worker.
     bool may_still_start() const
@@ -100,6 +110,11 @@
     std::map<task_id, task_allocation> allocations;
     // Invariant: the number of allocations whose need is not known.
     std::uint32_t unknown_needs = 0;
+    // Invariant: the number of isolated allocations.
+    std::uint32_t isolated_tasks = 0;
+    /// It gets only tasks that have to run isolated, so that it becomes free
+    /// for them.
+    bool kept_for_isolation = false;
 
     /// True when new work may be placed on it now.
     bool is_usable(time_point now) const
@@ -108,6 +123,13 @@
                !this->unlisted && !this->entry.leaving &&
                this->unknown_needs == 0 && now >= this->quarantined_until;
     }
+
+    /// True when tasks of this job, isolated or not, may run beside the
+    /// worker's tasks.
+    bool accepts(std::string const& job, bool isolated) const;
+
+    /// True when all runs that may have been started on it are of one job.
+    bool runs_one_job() const;
 };
 
 /// The workers by id.
@@ -136,6 +158,9 @@
     void set_need(
         pool_worker& worker, task_id const& task, resources const& need);
 
+    /// Isolates an allocation that was made before its job was known.
+    void isolate(pool_worker& worker, task_id const& task);
+
     /// Releases the allocation of a task; false when it has none.
     bool release(std::string const& worker, task_id const& task);
 
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -22,7 +22,8 @@
         time_point asked_at) override;
     void on_unresponsive(
         worker_lease& lease, std::string const& problem) override;
-    void on_lost(worker_lease& lease, std::string const& reason) override;
+    void on_lost(worker_lease& lease, loss_cause cause,
+        std::string const& reason) override;
     void on_fenced(worker_lease& lease) override;
 
     /// Applies the runs and completions that workers reported before the job,
@@ -34,6 +35,8 @@
     void sweep();
 
 private:
+    using placed_run = std::pair<task_id, task_allocation>;
+
     /// A start that a lost worker may still carry out once it is back.
     struct unsettled_start
     {
@@ -71,6 +74,10 @@
     void record_completion(std::string const& worker,
         completion_receipt const& receipt, completed_run const& completion,
         bool job_ended);
+    /// Appends an entry to the journal; `done` is called once it is durable,
+    /// and the job's end, if the entry ends it, is visible from then on.
+    void append_to_journal(run_completion const& entry, bool job_ended,
+        std::function<void()> done);
     /// Matches the worker's allocations with the runs that it reports. A
     /// confirmed run that a complete report does not list is treated as lost.
     void reconcile(
@@ -90,12 +97,22 @@
     /// Stops the worker's runs, and settles its completions, whose jobs turned
     /// out not to exist.
     void drop_runs_of_absent_jobs(pool_worker& worker);
-    /// Releases the allocations on a lost worker, except those whose start may
-    /// still be carried out there.
-    void release_lost_allocations(
-        std::string const& id, std::string const& reason);
+    /// Releases the allocations on a lost worker. With `starts_may_arrive`,
+    /// those whose start may still be carried out there are kept.
+    void release_lost_allocations(std::string const& id,
+        std::string const& reason, bool starts_may_arrive);
     void release_lost_task(std::string const& worker, task_id const& task,
         std::string const& reason);
+    /// Records the crash of a worker for the tasks that may have caused it. The
+    /// capacity is free at once, but these tasks wait again only when the crash
+    /// is durable, so that every successor counts it. `starts_may_arrive` as
+    /// for `release_lost_allocations`.
+    void record_crash(std::string const& id, bool starts_may_arrive);
+    /// The runs on a crashed worker that may have caused the crash.
+    std::vector<placed_run> find_suspects(pool_worker const& worker);
+    /// A long-running task sees many workers crash in its time, so that only a
+    /// crash at its start makes it a suspect.
+    bool is_long_running(task_id const& task);
 
     dispatch_state& state;
     worker_roster& roster;
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -130,8 +130,16 @@
         for (run_completion const& entry :
             completion_journal::decode(row.value))
         {
-            this->state.registry.record_completion(
-                entry.task, entry.run, entry.outcome, now);
+            if (entry.outcome == run_outcome::worker_crashed)
+            {
+                this->state.registry.record_crash(
+                    entry.task, entry.run, entry.isolated, now);
+            }
+            else
+            {
+                this->state.registry.record_completion(
+                    entry.task, entry.run, entry.outcome, now);
+            }
             jobs.insert(entry.task.step.job);
         }
         this->cleaner.note_journal_row(row.at.key, jobs);
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -23,6 +23,9 @@
 /// back; the step that reaches the limit may exceed it. Holding back workers
 /// for every waiting step would leave them idle while other work fits.
 constexpr std::size_t workers_per_held_back = 4;
+/// At most one worker in this many is kept for tasks that run isolated, so that
+/// a series of crashes leaves most of the cell to other work.
+constexpr std::size_t workers_per_kept = 4;
 
 } // namespace
 
@@ -88,19 +91,22 @@
     // Workers held back for steps of higher rank stay so during this pass only.
     ++this->pass;
     this->held_back_workers = 0;
+    this->isolation_demand = 0;
     resources const largest_free = this->max_free();
     for (step_rank const& rank : ranks)
     {
         registry_step const* step = this->state.registry.find(rank.id);
-        // A gang that does not fit still has workers held back for it.
+        // A gang or a suspect that does not fit still has workers held back for
+        // it.
         bool can_progress = step != nullptr &&
-                            (step->spec->gang ||
+                            (step->spec->gang || step->is_suspect() ||
                                 largest_free.fits(step->spec->capacity_need()));
         if (can_progress)
         {
             this->plan_step(rank);
         }
     }
+    this->release_kept_workers();
 }
 
 resources step_planner::max_free() const
@@ -213,8 +219,8 @@
         return;
     }
     placement_request request = this->make_request(*job, *step);
-    request.allowed = [this](pool_worker const& worker)
-    { return !this->is_held_back(worker); };
+    request.allowed = [this, step](pool_worker const& worker)
+    { return this->accepts(worker, *step); };
     std::vector<std::string> chosen =
         place_step(this->candidates_for(*step, needs_tickets), request,
             this->state.dependencies.loop.now());
@@ -222,9 +228,13 @@
     {
         this->request_more_advice(*job, *step, request);
     }
+    if (chosen.size() < request.tasks && step->is_suspect())
+    {
+        this->keep_for_isolation(*step, request);
+    }
     if (chosen.empty())
     {
-        if (request.all_or_none && !step->advice.pending)
+        if (!step->is_suspect() && request.all_or_none && !step->advice.pending)
         {
             this->hold_back_for_gang(*step, request);
         }
@@ -295,8 +305,8 @@
     for (auto& [id, worker] : this->state.pool.all())
     {
         bool eligible =
-            !this->is_held_back(worker) && worker.is_usable(now) &&
-            is_eligible(worker.entry, request) &&
+            worker.is_usable(now) && is_eligible(worker.entry, request) &&
+            this->accepts(worker, step) &&
             (step.advice.queried.empty() || step.advice.approved.contains(id));
         if (eligible)
         {
@@ -320,6 +330,69 @@
     }
 }
 
+void step_planner::keep_for_isolation(
+    registry_step const& step, placement_request const& request)
+{
+    time_point now = this->state.dependencies.loop.now();
+    pool_worker* freest = nullptr;
+    std::size_t kept = 0;
+    std::size_t wanted = 0;
+    for (auto& [id, worker] : this->state.pool.all())
+    {
+        if (!worker.is_usable(now) || !is_eligible(worker.entry, request))
+        {
+            continue;
+        }
+        wanted = std::max(wanted, this->workers_for(worker, request));
+        if (worker.kept_for_isolation)
+        {
+            ++kept;
+            continue;
+        }
+        bool may_be_approved = step.advice.approved.contains(id) ||
+                               !step.advice.queried.contains(id);
+        if (may_be_approved &&
+            (freest == nullptr ||
+                std::pair(worker.free.cpu_millis, id) >
+                    std::pair(freest->free.cpu_millis, freest->entry.id)))
+        {
+            freest = &worker;
+        }
+    }
+    this->isolation_demand += wanted;
+    std::size_t limit =
+        std::max(wanted, this->state.pool.all().size() / workers_per_kept);
+    if (freest != nullptr && kept < std::min(this->isolation_demand, limit))
+    {
+        freest->kept_for_isolation = true;
+    }
+}
+
+std::size_t step_planner::workers_for(
+    pool_worker const& worker, placement_request const& request) const
+{
+    // Tasks that are not a gang can run one after the other.
+    if (!request.all_or_none || request.need.cpu_millis == 0)
+    {
+        return 1;
+    }
+    auto per_worker = static_cast<std::size_t>(
+        worker.entry.capacity.cpu_millis / request.need.cpu_millis);
+    return (request.tasks + per_worker - 1) / per_worker;
+}
+
+void step_planner::release_kept_workers()
+{
+    if (this->isolation_demand > 0)
+    {
+        return;
+    }
+    for (auto& [id, worker] : this->state.pool.all())
+    {
+        worker.kept_for_isolation = false;
+    }
+}
+
 std::uint64_t step_planner::next_run_number(
     registry_step const& step, bool whole_gang) const
 {
@@ -351,6 +424,7 @@
         wanted.run =
             step.spec->gang ? first_run : std::max(first_run, task.run + 1);
         wanted.need = need;
+        wanted.isolated = step.is_suspect();
         task_id id{step.id, i};
         this->state.pool.allocate(
             *this->state.pool.find(chosen[next]), id, wanted);
@@ -374,6 +448,7 @@
     for (auto const& [id, worker] : this->state.pool.all())
     {
         if (worker.is_usable(now) && is_eligible(worker.entry, request) &&
+            worker.accepts(step.id.job, step.is_suspect()) &&
             !advice.queried.contains(id))
         {
             found.emplace_back(-worker.free.cpu_millis, &id);
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -33,8 +33,13 @@
 
 void task_orders::release_task(std::string const& worker, task_id const& task)
 {
-    registry_task* entry = this->state.registry.find(task);
     this->state.pool.release(worker, task);
+    this->return_task(worker, task);
+}
+
+void task_orders::return_task(std::string const& worker, task_id const& task)
+{
+    registry_task* entry = this->state.registry.find(task);
     if (entry == nullptr || entry->worker != worker)
     {
         return;
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -43,6 +43,9 @@
 /// By the platform's rule, a job is of use to its caller up to three times its
 /// objective.
 constexpr std::int64_t useful_factor = 3;
+/// Crashes after which a task is given up if it was isolated in one of them. A
+/// worker may also crash for a cause of its own, but rarely twice under a task.
+constexpr std::size_t max_crashes = 2;
 
 } // namespace
 
@@ -278,6 +281,39 @@
     return effect;
 }
 
+completion_effect work_registry::record_crash(
+    task_id const& task, std::uint64_t run, bool isolated, time_point now)
+{
+    completion_effect effect;
+    registry_step* step = this->find(task.step);
+    if (step == nullptr || task.index >= step->tasks.size())
+    {
+        return effect;
+    }
+    registry_job& job = *this->find(task.step.job);
+    registry_task& entry = step->tasks[task.index];
+    if (entry.succeeded)
+    {
+        return effect;
+    }
+    effect.current = run >= entry.run;
+    entry.run = std::max(entry.run, run);
+    this->mark_started(job);
+    if (!job.open())
+    {
+        return effect;
+    }
+    crash_history& history = step->crashes[step->spec->gang ? 0 : task.index];
+    history.runs.insert(run);
+    history.isolated = history.isolated || isolated;
+    if (history.isolated && history.runs.size() >= max_crashes)
+    {
+        this->end_job(job, work_state::failed, now);
+        effect.job_ended = true;
+    }
+    return effect;
+}
+
 void work_registry::record_success(registry_step& step, registry_task& task)
 {
     // The success of one task of a gang is the success of all its tasks.
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -145,8 +145,8 @@
     if (result.outcome == order_outcome::other_incarnation)
     {
         this->schedule_poll(retry_delay);
-        this->listener.on_lost(
-            *this, "another incarnation of the worker answered");
+        this->listener.on_lost(*this, loss_cause::other_incarnation,
+            "another incarnation of the worker answered");
         return;
     }
     if (result.outcome != order_outcome::done || result.clock_ms < 0)
@@ -183,8 +183,8 @@
     if (!this->lost)
     {
         this->lost = true;
-        this->listener.on_lost(
-            *this, "its lease has expired; the last poll failed: " + problem);
+        this->listener.on_lost(*this, loss_cause::lease_expired,
+            "its lease has expired; the last poll failed: " + problem);
     }
 }
 
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <string_view>
 
 namespace toucanlever
 {
@@ -18,6 +19,30 @@
 
 } // namespace
 
+bool pool_worker::accepts(std::string const& job, bool isolated) const
+{
+    if (!isolated && this->isolated_tasks == 0)
+    {
+        return !this->kept_for_isolation;
+    }
+    return (isolated || !this->kept_for_isolation) &&
+           std::all_of(this->allocations.begin(), this->allocations.end(),
+               [&job](auto const& each) { return each.first.step.job == job; });
+}
+
+bool pool_worker::runs_one_job() const
+{
+    std::set<std::string_view> jobs;
+    for (auto const& [task, allocation] : this->allocations)
+    {
+        if (allocation.may_have_run())
+        {
+            jobs.insert(task.step.job);
+        }
+    }
+    return jobs.size() == 1;
+}
+
 pool_worker& worker_pool::put(worker_entry const& entry)
 {
     pool_worker& worker = this->by_id[entry.id];
@@ -68,6 +93,7 @@
     }
     worker.free -= wanted.need;
     worker.unknown_needs += wanted.need_known ? 0 : 1;
+    worker.isolated_tasks += wanted.isolated ? 1 : 0;
     this->holders.insert({task, worker.entry.id});
     return place->second;
 }
@@ -82,6 +108,13 @@
     allocation.need_known = true;
 }
 
+void worker_pool::isolate(pool_worker& worker, task_id const& task)
+{
+    task_allocation& allocation = worker.allocations.at(task);
+    worker.isolated_tasks += allocation.isolated ? 0 : 1;
+    allocation.isolated = true;
+}
+
 bool worker_pool::release(std::string const& worker, task_id const& task)
 {
     pool_worker* target = this->find(worker);
@@ -96,6 +129,7 @@
     }
     target->free += found->second.need;
     target->unknown_needs -= found->second.need_known ? 0 : 1;
+    target->isolated_tasks -= found->second.isolated ? 1 : 0;
     target->allocations.erase(found);
     this->holders.erase({task, worker});
     return true;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -59,7 +59,8 @@
     }
 }
 
-void worker_reports::on_lost(worker_lease& lease, std::string const& reason)
+void worker_reports::on_lost(
+    worker_lease& lease, loss_cause cause, std::string const& reason)
 {
     std::string id = lease.target().id;
     pool_worker& worker = *this->state.pool.find(id);
@@ -69,7 +70,13 @@
         .with("worker", id)
         .with("reason", reason)
         .with("holds", worker.allocations.size());
-    this->release_lost_allocations(id, reason);
+    bool crashed = cause == loss_cause::other_incarnation;
+    if (crashed)
+    {
+        this->record_crash(id, false);
+    }
+    // Orders name the incarnation, so another one carries none of them out.
+    this->release_lost_allocations(id, reason, !crashed);
     this->forget_unsettled_starts(id);
     for (auto const& [task, allocation] : worker.allocations)
     {
@@ -91,6 +98,7 @@
 {
     log_line("worker-restarted").with("worker", lease.target().id);
     lease.reset_incarnation();
+    this->record_crash(lease.target().id, true);
     // The new incarnation has seen no stop and no fencing token, so it would
     // carry out orders that were sent to the old one and are still in flight.
     lease.assume_earlier_grants();
@@ -104,17 +112,18 @@
             this->orders.send_stop(lease.target().id, task);
         }
     }
-    this->release_lost_allocations(lease.target().id, "the worker restarted");
+    this->release_lost_allocations(
+        lease.target().id, "the worker restarted", true);
 }
 
 void worker_reports::release_lost_allocations(
-    std::string const& id, std::string const& reason)
+    std::string const& id, std::string const& reason, bool starts_may_arrive)
 {
     pool_worker& worker = *this->state.pool.find(id);
     std::vector<task_id> tasks;
     for (auto const& [task, allocation] : worker.allocations)
     {
-        if (!allocation.may_still_start())
+        if (!starts_may_arrive || !allocation.may_still_start())
         {
             tasks.push_back(task);
         }
@@ -206,6 +215,79 @@
     }
 }
 
+std::vector<worker_reports::placed_run> worker_reports::find_suspects(
+    pool_worker const& worker)
+{
+    std::vector<placed_run> suspects;
+    bool any_unseen = false;
+    for (auto const& [task, allocation] : worker.allocations)
+    {
+        if (allocation.may_have_run())
+        {
+            suspects.emplace_back(task, allocation);
+            any_unseen = any_unseen || !allocation.seen_running;
+        }
+    }
+    // A task that crashes workers most likely does so at its start. Those that
+    // have outlived theirs are suspects only when there is no other.
+    std::erase_if(suspects,
+        [this, any_unseen](placed_run const& each)
+        {
+            return each.second.seen_running &&
+                   (any_unseen || this->is_long_running(each.first));
+        });
+    return suspects;
+}
+
+void worker_reports::record_crash(std::string const& id, bool starts_may_arrive)
+{
+    pool_worker const& worker = *this->state.pool.find(id);
+    // A worker that leaves ends its runs, too.
+    std::vector<placed_run> const suspects = worker.entry.leaving
+                                                 ? std::vector<placed_run>{}
+                                                 : this->find_suspects(worker);
+    if (suspects.empty())
+    {
+        return;
+    }
+    bool isolated = worker.runs_one_job();
+    log_line("worker-crashed")
+        .with("worker", id)
+        .with("suspects", suspects.size())
+        .with("isolated", isolated ? 1 : 0);
+    metrics().count("worker_crashes");
+    for (auto const& [task, allocation] : suspects)
+    {
+        registry_job const* job = this->state.registry.find(task.step.job);
+        registry_task const* entry = this->state.registry.find(task);
+        if (entry == nullptr || entry->succeeded || !job->open())
+        {
+            continue;
+        }
+        if (!starts_may_arrive || !allocation.may_still_start())
+        {
+            this->state.pool.release(id, task);
+        }
+        completion_effect effect = this->state.registry.record_crash(task,
+            allocation.run, isolated, this->state.dependencies.loop.now());
+        this->append_to_journal(
+            {task, allocation.run, run_outcome::worker_crashed, isolated},
+            effect.job_ended,
+            [this, id, task = task] { this->orders.return_task(id, task); });
+        if (effect.job_ended)
+        {
+            this->on_job_ended(task.step.job);
+        }
+        this->orders.stop_broken_gang(task.step);
+    }
+}
+
+bool worker_reports::is_long_running(task_id const& task)
+{
+    registry_step const* step = this->state.registry.find(task.step);
+    return step != nullptr && step->spec->long_running;
+}
+
 void worker_reports::handle_completion(
     worker_lease& lease, completed_run const& completion)
 {
@@ -324,20 +406,28 @@
 void worker_reports::record_completion(std::string const& worker,
     completion_receipt const& receipt, completed_run const& completion,
     bool job_ended)
+{
+    this->append_to_journal(
+        {completion.task, completion.run, completion.outcome}, job_ended,
+        [this, worker, receipt] { this->settle_completion(worker, receipt); });
+}
+
+void worker_reports::append_to_journal(
+    run_completion const& entry, bool job_ended, std::function<void()> done)
 {
     if (job_ended)
     {
-        this->state.registry.find(completion.task.step.job)->durable = false;
+        this->state.registry.find(entry.task.step.job)->durable = false;
     }
-    this->journal.append({completion.task, completion.run, completion.outcome},
-        [this, worker, receipt, job = completion.task.step.job, job_ended]
+    this->journal.append(entry,
+        [this, job = entry.task.step.job, job_ended, done = std::move(done)]
         {
             registry_job* found = this->state.registry.find(job);
             if (job_ended && found != nullptr)
             {
                 found->durable = true;
             }
-            this->settle_completion(worker, receipt);
+            done();
         });
 }
 
@@ -354,6 +444,8 @@
             this->adopt_run(worker, running);
             continue;
         }
+        allocation->second.seen_running |=
+            allocation->second.run == running.run;
         if (allocation->second.phase == allocation_phase::starting &&
             allocation->second.run == running.run)
         {
@@ -411,6 +503,7 @@
     allocation.phase = allocation_phase::running;
     allocation.confirmed = true;
     allocation.confirmed_at = this->state.dependencies.loop.now();
+    allocation.seen_running = true;
     allocation.need_known = !held;
     this->state.pool.allocate(worker, running.task, allocation, true);
     if (!held || worker.reconciled)
@@ -436,6 +529,10 @@
     if (step != nullptr)
     {
         this->state.pool.set_need(worker, id, step->spec->capacity_need());
+        if (step->is_suspect())
+        {
+            this->state.pool.isolate(worker, id);
+        }
     }
     bool waiting = task != nullptr && job->open() && task->is_waiting();
     bool keep_run = waiting && !stopping && run >= task->run;
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -9,6 +9,8 @@
 #include "cell/cell_tables.hpp"
 #include "fake_record_store.hpp"
 
+#include "toucanlever/wire/codec.hpp"
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -201,6 +203,17 @@
     cr_assert(fixture.store.count(tables::journal) == 1U);
 }
 
+Test(completion_journal, rows_of_earlier_versions_are_read)
+{
+    // Three fields, without the one that crashes use.
+    std::tuple entry{task_id{{"a", 0, 0}, 1}, 7, run_outcome::succeeded};
+    auto entries = completion_journal::decode(pack(std::vector{entry}));
+    cr_assert(entries.size() == 1U);
+    cr_assert(entries[0].run == 7U);
+    cr_assert(entries[0].outcome == run_outcome::succeeded);
+    cr_assert_not(entries[0].isolated);
+}
+
 Test(completion_journal, a_replaced_scheduler_records_nothing)
 {
     store_fixture fixture;
--- a/tests/unit/work_registry.tests.cpp
+++ b/tests/unit/work_registry.tests.cpp
@@ -189,3 +189,52 @@
     cr_assert(registry.waiting_jobs("q") == 0);
     cr_assert(registry.waiting_jobs("unheard-of") == 0);
 }
+
+Test(work_registry, a_task_fails_only_by_crashes_that_it_alone_can_explain)
+{
+    work_registry registry;
+    registry.add(make_job("a", {make_step(1)}), 1, 0, now);
+    task_id const task{{"a", 0, 0}, 0};
+    for (std::uint64_t run = 1; run <= 5; ++run)
+    {
+        cr_assert_not(registry.record_crash(task, run, false, now).job_ended);
+    }
+    cr_assert(registry.find(task.step)->is_suspect());
+    cr_assert(registry.record_crash(task, 6, true, now).job_ended);
+    cr_assert(registry.find("a")->state == work_state::failed);
+}
+
+Test(work_registry, a_single_crash_fails_no_task)
+{
+    work_registry registry;
+    registry.add(make_job("a", {make_step(1)}), 1, 0, now);
+    task_id const task{{"a", 0, 0}, 0};
+    cr_assert_not(registry.record_crash(task, 1, true, now).job_ended);
+    cr_assert(run_once(registry, task, 2, run_outcome::succeeded).job_ended);
+    cr_assert(registry.find("a")->state == work_state::succeeded);
+}
+
+Test(work_registry, a_crash_that_is_recorded_again_counts_once)
+{
+    work_registry registry;
+    registry.add(make_job("a", {make_step(2)}), 1, 0, now);
+    task_id const task{{"a", 0, 0}, 0};
+    registry.record_crash(task, 1, true, now);
+    cr_assert_not(registry.record_crash(task, 1, true, now).job_ended);
+    // Another task of the step has a count of its own.
+    cr_assert_not(
+        registry.record_crash({{"a", 0, 0}, 1}, 1, true, now).job_ended);
+    cr_assert(registry.find("a")->open());
+}
+
+Test(work_registry, the_crashes_under_the_tasks_of_a_gang_count_together)
+{
+    work_registry registry;
+    work_step gang = make_step(2);
+    gang.gang = true;
+    registry.add(make_job("a", {gang}), 1, 0, now);
+    registry.record_crash({{"a", 0, 0}, 0}, 1, true, now);
+    cr_assert_not(
+        registry.record_crash({{"a", 0, 0}, 1}, 1, true, now).job_ended);
+    cr_assert(registry.record_crash({{"a", 0, 0}, 1}, 2, true, now).job_ended);
+}
