Test of a crash that another incarnation's answer shows

The tests of crashes so far cover a worker that is back under its own id. Most come back under a new id, and the old one is only known to be gone because the address answers for another incarnation. The fake workers can now be replaced so. a_worker_in_whose_place_another_one_answers_has_crashed guards this path.

--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1180,3 +1180,24 @@
     fixture.run_for(second);
     cr_assert(fixture.state_of("a") == work_state::running);
 }
+
+Test(dispatcher, a_worker_in_whose_place_another_one_answers_has_crashed)
+{
+    cell_fixture fixture(6);
+    fixture.begin_term();
+    fixture.submit("a", 1);
+    for (int i = 0; i < 6; ++i)
+    {
+        fixture.run_for(second);
+        for (auto& [id, worker] : fixture.workers.workers)
+        {
+            if (worker.running.contains(first_task))
+            {
+                worker = fake_cell_worker{};
+                worker.replaced = true;
+            }
+        }
+    }
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    cr_assert(fixture.state_of("a") == work_state::failed);
+}
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -23,6 +23,8 @@
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
     bool silent = false;
+    /// Another incarnation, with another id, answers in its place.
+    bool replaced = false;
     /// How many of the next starts are carried out without a reply.
     int lose_replies = 0;
     /// Starts get no reply and are queued until `deliver_delayed_starts`.
@@ -58,6 +60,11 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
+        if (worker.replaced)
+        {
+            done({order_outcome::other_incarnation, this->clock(), {}});
+            return;
+        }
         if (worker.refuse_next)
         {
             order_outcome refusal = *worker.refuse_next;
@@ -101,6 +108,11 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
+        if (worker.replaced)
+        {
+            done({order_outcome::other_incarnation, this->clock(), {}});
+            return;
+        }
         worker.barred[order.task] =
             std::max(worker.barred[order.task], order.run);
         auto found = worker.running.find(order.task);
@@ -122,6 +134,12 @@
             done(result);
             return;
         }
+        if (worker.replaced)
+        {
+            result.outcome = order_outcome::other_incarnation;
+            done(result);
+            return;
+        }
         if (order.fencing_token < worker.fencing_token)
         {
             result.outcome = order_outcome::refused_fenced;
