--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -165,6 +165,16 @@
     cr_assert_not(decode_base64("****").has_value());
 }
 
+Test(strekbod, base64_with_misplaced_padding_or_spaces_is_refused)
+{
+    for (char const* text :
+        {"=", "==", "===", "====", "========", "Y===", "YQ=", "YQ", "YQ==\n",
+            "YQ==YQ==", " YQ==", "YQ= ", "Y=Q=", "=YQ="})
+    {
+        cr_assert_not(decode_base64(text).has_value(), "%s", text);
+    }
+}
+
 Test(strekbod, settings_are_checked_with_file_line_and_key)
 {
     std::string const good = "name: n\nfailure_domain: z\n"
