A row that cannot be decoded counts as removed

Seen: a worker whose entry is replaced by an unreadable value keeps getting work by its old entry. When a page of a table holds only unreadable rows, the rows after it are never read.

Cause: unreadable rows were left out of the answer, so the follower heard of no change, and the scan took the key to continue at from the last readable row, or stopped when there was none.

Evidence: a_row_that_becomes_unreadable_counts_as_removed found no row, and an_unreadable_row_does_not_hide_the_rows_after_it did not reach the last row.

Such a row is now passed on with its key, as removed. A scan continues after it and leaves it out of its result.

--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -60,13 +60,17 @@
     {
         this->version = result.version;
     }
-    std::move(
-        result.rows.begin(), result.rows.end(), std::back_inserter(this->rows));
+    std::string last_key =
+        result.rows.empty() ? std::string() : result.rows.back().at.key;
+    std::copy_if(std::make_move_iterator(result.rows.begin()),
+        std::make_move_iterator(result.rows.end()),
+        std::back_inserter(this->rows),
+        [](record const& row) { return !row.removed; });
     if (result.has_more && !result.rows.empty())
     {
         // Continue at the next key in byte order; this relies on keys without
         // characters below '!'.
-        this->read(this->rows.back().at.key + '!');
+        this->read(last_key + '!');
         return;
     }
     this->done(std::move(this->rows), this->version);
--- /dev/null
+++ b/tests/unit/store_client.tests.cpp
@@ -0,0 +1,115 @@
+/// The client of the platform's store, against an HTTP server on loopback.
+#include "store_client.hpp"
+
+#include "base64.hpp"
+#include "json_reader.hpp"
+#include "loopback.hpp"
+
+#include "toucanlever/cell/record_follower.hpp"
+#include "toucanlever/http/server.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <thread>
+
+using namespace toucanlever;
+using namespace toucanlever::strekbod;
+
+namespace
+{
+
+// Polls at intervals of 1 ms or more, so at least 5 s.
+constexpr int max_polls = 5000;
+
+/// Serves the rows of one table in pages of one row.
+class table_handler final : public http_handler
+{
+public:
+    void on_request(
+        http_request request, std::shared_ptr<http_exchange> exchange) override
+    {
+        ++this->calls;
+        std::string from = find_field(request.query, "From").value_or("");
+        auto first = this->values.lower_bound(from);
+        json rows = json::array();
+        if (first != this->values.end())
+        {
+            rows.push_back({{"Table", "t"}, {"part", ""}, {"Key", first->first},
+                {"RowVersion", 1}, {"Value", first->second}});
+            ++first;
+        }
+        json body{{"rows", rows}, {"RowVersion", 1},
+            {"HasMore", first != this->values.end()}};
+        exchange->answer(json_response(200, body.dump()));
+    }
+
+    // Encoded values by key.
+    std::map<std::string, std::string> values;
+    int calls = 0;
+};
+
+class store_client_fixture
+{
+public:
+    /// Waits until `done` returns true; false when it never does.
+    template <typename Condition>
+    bool wait_until(Condition done)
+    {
+        for (int i = 0; i < max_polls && !done(); ++i)
+        {
+            this->loop.run_ready();
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return done();
+    }
+
+    /// The keys of all readable rows.
+    std::set<std::string> scan()
+    {
+        std::optional<std::set<std::string>> keys;
+        record_scan scan(this->loop, this->store, "t", "",
+            [&keys](std::vector<record> const& rows, std::int64_t)
+            {
+                keys.emplace();
+                for (record const& row : rows)
+                {
+                    keys->insert(row.at.key);
+                }
+            });
+        this->wait_until([this, &keys]
+            { return keys.has_value() || this->handler.calls > 20; });
+        return keys.value_or(std::set<std::string>{"not read"});
+    }
+
+    std::string const address = own_ip(1) + ":7991";
+    steady_clock time;
+    event_loop loop{this->time};
+    table_handler handler;
+    http_server server{this->loop, this->address, this->handler, http_limits{}};
+    http_client client{this->loop};
+    store_client store{this->client, this->address};
+};
+
+} // namespace
+
+Test(store_client, an_unreadable_row_does_not_hide_the_rows_after_it)
+{
+    store_client_fixture fixture;
+    std::string const value = encode_base64("v");
+    fixture.handler.values = {{"a", value}, {"b", "===="}, {"c", value}};
+    std::set<std::string> const expected{"a", "c"};
+    cr_assert(fixture.scan() == expected);
+}
+
+Test(store_client, a_row_that_becomes_unreadable_counts_as_removed)
+{
+    store_client_fixture fixture;
+    fixture.handler.values = {{"a", "YQ==\n"}};
+    std::optional<read_result> result;
+    fixture.store.changes("t", 0, milliseconds(0),
+        [&result](read_result const& read) { result = read; });
+    cr_assert(fixture.wait_until([&result] { return result.has_value(); }));
+    cr_assert(result->rows.size() == 1U);
+    cr_assert(result->rows[0].at.key == "a");
+    cr_assert(result->rows[0].removed);
+}
