--- a/tests/unit/store_client.tests.cpp
+++ b/tests/unit/store_client.tests.cpp
@@ -92,6 +92,19 @@
 
 } // namespace
 
+Test(store_client, keys_with_odd_characters_do_not_keep_a_table_from_being_read)
+{
+    for (char const* odd : {"b c", "b#c", "b&Limit=1", "b%41", "b\r\nX: y",
+             "b\xc3\xa9", "b+c", "b?c"})
+    {
+        store_client_fixture fixture;
+        std::string const value = encode_base64("v");
+        fixture.handler.values = {{"a", value}, {odd, value}, {"z", value}};
+        std::set<std::string> const expected{"a", odd, "z"};
+        cr_assert(fixture.scan() == expected, "key %s", odd);
+    }
+}
+
 Test(store_client, an_unreadable_row_does_not_hide_the_rows_after_it)
 {
     store_client_fixture fixture;
