Numbers beyond the range of an integer are limited to it

Would be seen: undefined behaviour, and on x86-64 and arm64 different values, when a message contains a number like 1e300 or one above 2^63.

Cause: floating point numbers were cast to an integer without a check, and unsigned ones wrapped to negative values; also in workers' reports.

Evidence: numbers_out_of_range_in_a_report_are_limited_to_the_range failed.

--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -103,6 +103,20 @@
     cr_assert(worker->started_ms == 77);
 }
 
+Test(strekbod, numbers_out_of_range_in_a_report_are_limited_to_the_range)
+{
+    watch_result result = decode_watch(
+        R"({"ClockMs":1e300,"born":1e300,
+            "Running":[["a.0.1.17",1e300,"cp",1e300]],
+            "Finished":[[1e300,"a.0.1.9",-1e300,"done",""]]})");
+    constexpr std::int64_t max = std::numeric_limits<std::int64_t>::max();
+    cr_assert(result.clock_ms == max);
+    cr_assert(result.running.at(0).run == static_cast<std::uint64_t>(max));
+    cr_assert(result.running.at(0).progress == 100);
+    cr_assert(result.completions.at(0).number == max);
+    cr_assert(result.completions.at(0).run == 0U);
+}
+
 Test(strekbod, a_configuration_gives_routes_and_terms)
 {
     auto configuration = decode_configuration(
