A worker whose listed capacity is out of range is not used

Would be seen: an entry with a capacity of 1e300, -1 or 2^63 names a worker of any size, or overflows when it is converted to bytes or added up. A capacity of another type counted as an empty one.

Cause: the numbers of a capacity were taken as they are; the amounts of a submitted task, too.

Nesting of 100,000 levels alone ended no process: the JSON library parses and destroys without recursion.

An entry with an amount that no machine has describes no worker now, and a job with one is refused with the name of the field.

--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -2,6 +2,7 @@
 /// project's types.
 #include "base64.hpp"
 #include "decode.hpp"
+#include "json_reader.hpp"
 #include "platform_settings.hpp"
 
 #include "toucanlever/core/error.hpp"
@@ -57,6 +58,33 @@
     return result;
 }
 
+/// A usable entry of a worker with some members replaced; null removes one.
+std::string worker_body(std::string const& changes)
+{
+    json body = json::parse(
+        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"z","State":"ready",
+            "Capacity":{"Cpu":16000,"MemoryRequestMb":2,"Gpus":1},
+            "Labels":["a","r1-3"],"born":77})");
+    body.merge_patch(json::parse(changes));
+    return body.dump();
+}
+
+std::string nested(std::string const& open, std::string const& close)
+{
+    constexpr int depth = 100000;
+    std::string body;
+    for (int i = 0; i < depth; ++i)
+    {
+        body += open;
+    }
+    body += "1";
+    for (int i = 0; i < depth; ++i)
+    {
+        body += close;
+    }
+    return body;
+}
+
 } // namespace
 
 Test(strekbod, a_job_is_decoded_with_its_steps)
@@ -103,6 +131,59 @@
     cr_assert(worker->started_ms == 77);
 }
 
+Test(strekbod, deeply_nested_entries_yield_no_worker)
+{
+    for (std::string const& body : {nested("[", "]"), nested("{\"a\":", "}"),
+             nested("[{\"a\":", "}]"), std::string(100000, '[')})
+    {
+        cr_assert_not(decode_worker("id", body).has_value());
+    }
+    std::string body = worker_body("{}");
+    body.insert(1, "\"Capacity\":" + nested("[", "]") + ",");
+    body.replace(body.rfind("\"Capacity\""), 10, "\"Capacitx\"");
+    cr_assert_not(decode_worker("id", body).has_value());
+}
+
+Test(strekbod, a_capacity_that_is_out_of_range_yields_no_worker)
+{
+    cr_assert(decode_worker("id", worker_body("{}")).has_value());
+    for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus"})
+    {
+        for (char const* value :
+            {"1e300", "-1e300", "-1", "-0.5", "1e10", "9223372036854775807",
+                "18446744073709551615", "\"NaN\"", "\"16000\"", "[]", "true"})
+        {
+            std::string changes =
+                std::string(R"({"Capacity":{")") + field + "\":" + value + "}}";
+            cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+                "%s", changes.c_str());
+        }
+    }
+    for (char const* capacity : {"[]", "7", "\"\""})
+    {
+        std::string changes = std::string(R"({"Capacity":)") + capacity + "}";
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value());
+    }
+    auto worker = decode_worker("id",
+        worker_body(R"({"Capacity":{"Cpu":8e3,"MemoryRequestMb":null}})"));
+    cr_assert(worker->capacity.cpu_millis == 8000);
+    cr_assert(worker->capacity.memory_bytes == 0);
+}
+
+Test(strekbod, a_job_with_an_amount_out_of_range_is_refused)
+{
+    for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus", "Count"})
+    {
+        for (char const* value :
+            {"-1", "1e300", "9223372036854775807", "18446744073709551615"})
+        {
+            std::string body =
+                std::string(R"({"Steps":[{")") + field + "\":" + value + "}]}";
+            cr_assert(problem_of(body).starts_with(field), "%s", body.c_str());
+        }
+    }
+}
+
 Test(strekbod, numbers_out_of_range_in_a_report_are_limited_to_the_range)
 {
     watch_result result = decode_watch(
