A worker needs a valid address

Would be seen: an entry with port 70000, a path, a user or control characters in its address was taken for a worker. It was polled every 150 ms without end, recorded in the store, and each successor waited for its answer for the length of a lease before it resumed older jobs.

Cause: only an empty address was rejected. The settings check their addresses with is_address, which in turn ignored everything between a NUL and the port.

Evidence: an_address_that_no_worker_can_have_yields_no_worker failed for every address in its list, from "10.0.0.1" without a port on.

--- a/src/core/settings_file.cpp
+++ b/src/core/settings_file.cpp
@@ -34,8 +34,11 @@
     {
         return false;
     }
+    // inet_pton reads only up to a NUL.
+    std::string host = text.substr(0, colon);
     in_addr ip{};
-    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &ip) != 1)
+    if (host.find('\0') != host.npos ||
+        inet_pton(AF_INET, host.c_str(), &ip) != 1)
     {
         return false;
     }
--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -170,6 +170,21 @@
     cr_assert(worker->capacity.memory_bytes == 0);
 }
 
+Test(strekbod, an_address_that_no_worker_can_have_yields_no_worker)
+{
+    for (char const* address :
+        {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1",
+            "10.0.0.1:+1", "10.0.0.1:1e3", "10.0.0.1:80/path", "10.0.0.1:80#",
+            "10.0.0.1:80?a=b", "u@10.0.0.1:80", "10.0.0.1:80\\r\\nX: y",
+            "10.0.0.1 :80", "10.0.0.1\\u0000x:80", "10.0.0.1:80\\u0000",
+            "[::1]:80", "host:80", "10.0.0.256:80", ":80", ""})
+    {
+        std::string changes = std::string(R"({"Address":")") + address + "\"}";
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+            "%s", address);
+    }
+}
+
 Test(strekbod, a_job_with_an_amount_out_of_range_is_refused)
 {
     for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus", "Count"})
