Entries with fields of another type or without limit describe no worker

Would be seen: an entry with one label of 60 KB is recorded in the store together with up to 89 others, in a transaction of at most 1 MB. A few such entries exceed that, the store refuses the transaction each time, and no worker in it ever gets work. A list of labels of another type counted as empty, and a start time of another type as unknown.

Cause: texts were taken in any length, and members of another type as missing ones.

Evidence: an_entry_too_large_to_be_recorded_yields_no_worker and an_entry_with_fields_of_another_type_yields_no_worker failed. The refusal by the store was not reproduced.

--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -185,6 +185,32 @@
     }
 }
 
+Test(strekbod, an_entry_with_fields_of_another_type_yields_no_worker)
+{
+    for (char const* changes : {R"({"Zone":7})", R"({"Labels":"a"})",
+             R"({"Labels":{"a":1}})", R"({"Labels":["a",7]})",
+             R"({"Labels":[["a"]]})", R"({"born":"77"})", R"({"born":-1})",
+             R"({"born":1e300})", R"({"born":18446744073709551615})"})
+    {
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+            "%s", changes);
+    }
+    cr_assert(decode_worker("id", worker_body(R"({"Zone":null,"Labels":null,
+            "born":null,"Slots":"x","Extra":[[1e300]]})"))
+                  .has_value());
+}
+
+Test(strekbod, an_entry_too_large_to_be_recorded_yields_no_worker)
+{
+    std::string const text(60000, 'a');
+    for (std::string const& changes : {R"({"Labels":[")" + text + "\"]}",
+             R"({"Zone":")" + text + "\"}", R"({"Service":")" + text + "\"}",
+             json{{"Labels", std::vector<std::string>(10000, "a")}}.dump()})
+    {
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value());
+    }
+}
+
 Test(strekbod, a_job_with_an_amount_out_of_range_is_refused)
 {
     for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus", "Count"})
