A worker's id must be able to stand in a header

Would be seen: each order names its worker in a header. An entry under a key with CR and LF would add headers, or a whole request, to the calls to the address in that entry.

Cause: libcurl sends header lines as they are, and the id is the key of the entry, which another writer may choose.

An entry whose key is empty, longer than a key of the store may be, or not made of visible ASCII characters describes no worker.

--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -200,6 +200,16 @@
                   .has_value());
 }
 
+Test(strekbod, an_id_that_cannot_be_sent_in_a_header_yields_no_worker)
+{
+    for (std::string const& id : {std::string(), std::string("a\r\nX: y"),
+             std::string("a b"), std::string("a\0b", 3),
+             std::string("\xc3\xa9"), std::string(300, 'a')})
+    {
+        cr_assert_not(decode_worker(id, worker_body("{}")).has_value());
+    }
+}
+
 Test(strekbod, an_entry_too_large_to_be_recorded_yields_no_worker)
 {
     std::string const text(60000, 'a');
