Entries that describe no usable worker are logged once

Would be seen: nothing at all. An entry that the reader rejects left no trace, so an operator could not tell why a worker gets no work.

Evidence: an_unusable_entry_is_logged_once_until_that_changes failed. The test beside it, that such entries change nothing for other workers, passed before.

The roster logs and counts such an entry once, until it becomes usable or is removed.

--- a/include/toucanlever/cell/worker_roster.hpp
+++ b/include/toucanlever/cell/worker_roster.hpp
@@ -61,6 +61,8 @@
     /// whole list, and a worker without a row is unlisted; otherwise they are
     /// changes.
     void on_worker_rows(std::vector<record> const& rows, bool complete);
+    /// Logs a row that describes no usable worker, once until that changes.
+    void note_unusable_entry(record const& row);
     void take_recorded_rows(std::vector<record> rows);
     void notify_if_read();
     void update_worker(worker_entry const& entry);
@@ -91,6 +93,8 @@
     bool read_notified = false;
     // Workers of earlier schedulers that have not answered, by id.
     std::set<std::string> unreconciled;
+    // Keys of the rows of the list that describe no usable worker.
+    std::set<std::string> unusable_entries;
     // Listed workers that are not recorded in the store yet.
     std::set<std::string> to_record;
     // Removed workers whose records are to be deleted from the store.
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -3,6 +3,7 @@
 #include "cell/cell_tables.hpp"
 
 #include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
 namespace toucanlever
@@ -106,9 +107,11 @@
                                        row.at.key, row.value);
         if (!entry)
         {
+            this->note_unusable_entry(row);
             this->unlist_worker(row.at.key);
             continue;
         }
+        this->unusable_entries.erase(entry->id);
         listed.insert(entry->id);
         this->update_worker(*entry);
     }
@@ -125,6 +128,22 @@
     this->state.on_work_changed();
 }
 
+void worker_roster::note_unusable_entry(record const& row)
+{
+    if (row.removed)
+    {
+        this->unusable_entries.erase(row.at.key);
+    }
+    else if (this->unusable_entries.insert(row.at.key).second)
+    {
+        log_line("worker-entry-unusable")
+            .with("worker", row.at.key)
+            .with("version", row.version)
+            .with("bytes", row.value.size());
+        metrics().count("worker_entries_unusable");
+    }
+}
+
 void worker_roster::update_worker(worker_entry const& entry)
 {
     pool_worker& worker = this->state.pool.put(entry);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -5,6 +5,7 @@
 #include "fake_record_store.hpp"
 #include "fake_workers.hpp"
 
+#include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
 #include <criterion/criterion.h>
@@ -17,6 +18,8 @@
 
 constexpr milliseconds second{1000};
 constexpr std::int64_t worker_cpu = 4000;
+/// A row of the worker list that describes no worker.
+constexpr char unusable_entry[] = "unusable";
 
 /// An external placement policy that approves every worker that is not in
 /// `refused`, or answers that it is busy.
@@ -62,13 +65,20 @@
     }
 
     void list_worker(std::string const& id, bool leaving = false)
+    {
+        this->list_changed_worker(
+            id, [leaving](worker_entry& entry) { entry.leaving = leaving; });
+    }
+
+    void list_changed_worker(
+        std::string const& id, std::function<void(worker_entry&)> const& change)
     {
         worker_entry entry;
         entry.id = id;
         entry.address = id;
         entry.service = "s";
-        entry.leaving = leaving;
         entry.capacity = {worker_cpu, 1 << 20, 0};
+        change(entry);
         this->store.set({"workers-listed", "", id}, pack(entry));
     }
 
@@ -93,7 +103,11 @@
         dispatcher_dependencies parts{this->loop, this->store, this->workers,
             *this->broker, this->queues, "workers-listed",
             [](std::string const&, std::string const& value)
-            { return std::optional(unpack<worker_entry>(value, "test")); },
+            {
+                return value == unusable_entry
+                           ? std::nullopt
+                           : std::optional(unpack<worker_entry>(value, "test"));
+            },
             [this] { return this->may_start; }, milliseconds(1300),
             this->heartbeat, [] { return time_point::max(); },
             milliseconds(60000), false};
@@ -984,3 +998,54 @@
     fixture.run_for(second);
     cr_assert(fixture.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
 }
+
+Test(
+    dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
+{
+    cell_fixture fixture(2);
+    record_key const odd{"workers-listed", "", "odd"};
+    fixture.store.set(odd, unusable_entry);
+    fixture.begin_term();
+    fixture.submit("a", 8);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 8U);
+    // The entry of a worker that was usable.
+    fixture.store.set({"workers-listed", "", "w0"}, unusable_entry);
+    fixture.list_worker("w2");
+    fixture.run_for(second);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.submit("b", 8);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 8U);
+    cr_assert(fixture.workers.workers["w0"].running.empty());
+    fixture.list_worker("w0");
+    fixture.submit("c", 4);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.workers["w0"].running.size() == 4U);
+}
+
+Test(dispatcher, an_unusable_entry_is_logged_once_until_that_changes)
+{
+    cell_fixture fixture(1);
+    record_key const odd{"workers-listed", "", "odd"};
+    auto logged = []
+    {
+        std::string const text = metrics().prometheus();
+        constexpr std::string_view name =
+            "\ntoucanlever_worker_entries_unusable ";
+        auto at = text.find(name);
+        return at == text.npos ? 0 : std::stoi(text.substr(at + name.size()));
+    };
+    fixture.begin_term();
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.store.set(odd, unusable_entry);
+        fixture.run_for(second);
+    }
+    cr_assert(logged() == 1);
+    fixture.list_worker("odd");
+    fixture.run_for(second);
+    fixture.store.set(odd, unusable_entry);
+    fixture.run_for(second);
+    cr_assert(logged() == 2);
+}
