Reserved tasks are not started beyond a capacity that has shrunk

Tasks that wait for tickets of the external policy hold reservations; when the listed capacity shrinks meanwhile, all of them were started once the tickets arrived.

Cause: only a new allocation was checked against the free capacity, not the start of a task whose allocation was made before.

Evidence: tasks_reserved_before_a_capacity_shrank_are_not_started found four runs on a worker with room for two.

A reserved task whose worker is over its capacity is released and waits again; of a gang, all are.

--- a/include/toucanlever/cell/reserved_task_starter.hpp
+++ b/include/toucanlever/cell/reserved_task_starter.hpp
@@ -27,7 +27,8 @@
     /// flight, also requests new tickets for approved workers whose tickets
     /// expire, or releases the step's reserved allocations when no call can
     /// start now. If a worker is not approved, releases the allocations on such
-    /// workers, or those of the whole gang, and starts nothing.
+    /// workers, or those of the whole gang, and starts nothing. Does the same
+    /// with tasks that no longer fit because their worker's capacity shrank.
     void start_reserved(registry_job& job, registry_step& step);
 
     /// Requests placement advice for workers; false when no slot is free.
@@ -45,6 +46,9 @@
     /// otherwise those on workers that are not approved.
     void release_reserved(registry_step& step, bool all);
 
+    /// False when the allocations on the task's worker exceed its capacity.
+    bool still_fits(registry_step const& step, std::uint32_t index) const;
+
     dispatch_state& state;
     task_orders& orders;
     // False after destruction; callbacks that may run later check it.
--- a/src/cell/reserved_task_starter.cpp
+++ b/src/cell/reserved_task_starter.cpp
@@ -158,12 +158,34 @@
     {
         return;
     }
+    if (step.spec->gang && !std::all_of(ready.begin(), ready.end(),
+                               [this, &step](std::uint32_t index)
+                               { return this->still_fits(step, index); }))
+    {
+        this->release_reserved(step, true);
+        this->state.on_work_changed();
+        return;
+    }
     for (std::uint32_t index : ready)
     {
-        this->orders.send_start(job, step, index);
+        if (this->still_fits(step, index))
+        {
+            this->orders.send_start(job, step, index);
+            continue;
+        }
+        std::string const worker = step.tasks[index].worker;
+        this->orders.release_task(worker, {step.id, index});
+        this->state.on_work_changed();
     }
 }
 
+bool reserved_task_starter::still_fits(
+    registry_step const& step, std::uint32_t index) const
+{
+    constexpr resources nothing;
+    return this->state.pool.find(step.tasks[index].worker)->free.fits(nothing);
+}
+
 void reserved_task_starter::release_reserved(registry_step& step, bool all)
 {
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -118,6 +118,12 @@
         return *this->term;
     }
 
+    void list_capacity(std::string const& id, std::int64_t cpu_millis)
+    {
+        this->list_changed_worker(id, [cpu_millis](worker_entry& entry)
+            { entry.capacity.cpu_millis = cpu_millis; });
+    }
+
     void end_term() { this->term.reset(); }
 
     /// The state of a job; no value when the scheduler does not know the job.
@@ -999,6 +1005,77 @@
     cr_assert(fixture.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
 }
 
+Test(
+    dispatcher, a_worker_whose_capacity_has_shrunk_waits_until_enough_has_ended)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("a", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    fixture.list_capacity("w0", 2000);
+    fixture.submit("b", 1);
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        fixture.run_for(2 * second);
+        fixture.workers.end_run("w0", {{"a", 0, 0}, i}, run_outcome::succeeded);
+    }
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 2U);
+    fixture.workers.end_run("w0", {{"a", 0, 0}, 2}, run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
+Test(dispatcher, waiting_tasks_start_when_a_capacity_grows)
+{
+    cell_fixture fixture(1);
+    fixture.list_capacity("w0", 1000);
+    fixture.begin_term();
+    fixture.submit("a", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.list_capacity("w0", 3000);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 3U);
+}
+
+Test(dispatcher, tasks_reserved_before_a_capacity_shrank_are_not_started)
+{
+    for (bool gang : {false, true})
+    {
+        cell_fixture fixture(1);
+        fixture.begin_term();
+        fixture.submit("full", 4);
+        fixture.run_for(second);
+        fixture.submit("a", 4,
+            [gang](work_record& job)
+            {
+                job.queue.advice = {true, 5000, 100};
+                job.steps[0].gang = gang;
+            });
+        // The tickets of the first answer expire.
+        fixture.run_for(4 * second);
+        std::vector<std::function<void()>> held;
+        fixture.advice.answer_later = [&held](placement_advice::callback done,
+                                          advice_result const& result)
+        { held.push_back([done, result] { done(result); }); };
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(second);
+        cr_assert_not(held.empty());
+        fixture.list_capacity("w0", 2000);
+        fixture.run_for(2 * second);
+        while (!held.empty())
+        {
+            std::function<void()> answer = std::move(held.back());
+            held.pop_back();
+            answer();
+            fixture.run_for(milliseconds(100));
+        }
+        cr_assert(fixture.workers.running_count() == (gang ? 0U : 2U));
+    }
+}
+
 Test(
     dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
 {
--- a/tests/unit/step_placement.tests.cpp
+++ b/tests/unit/step_placement.tests.cpp
@@ -138,6 +138,42 @@
     cr_assert(worker.free.cpu_millis == 1000);
 }
 
+Test(worker_pool, a_capacity_that_shrinks_and_grows_again_bounds_placement)
+{
+    for (std::size_t dimension = 0; dimension < resources::dimensions;
+         ++dimension)
+    {
+        auto amount = [dimension](std::int64_t value)
+        {
+            resources result{100, 100, 100};
+            (dimension == 0      ? result.cpu_millis
+                : dimension == 1 ? result.memory_bytes
+                                 : result.accelerators) = value;
+            return result;
+        };
+        worker_pool pool;
+        worker_entry entry = add(pool, "a", 100).entry;
+        entry.capacity = amount(40);
+        pool_worker& worker = pool.put(entry);
+        task_allocation allocation;
+        allocation.need = dimension == 0   ? resources{30, 0, 0}
+                          : dimension == 1 ? resources{0, 30, 0}
+                                           : resources{0, 0, 30};
+        pool.allocate(worker, {{"j", 0, 0}, 0}, allocation);
+        entry.capacity = amount(10);
+        pool.put(entry);
+        placement_request request = make_request(1, 1);
+        request.need = {1, 1, 1};
+        cr_assert(place_step(pool, request, now).empty());
+        entry.capacity = amount(200);
+        pool.put(entry);
+        cr_assert(pool.release("a", {{"j", 0, 0}, 0}));
+        cr_assert(worker.free == entry.capacity);
+        request.tasks = 300;
+        cr_assert(place_step(pool, request, now).size() == 100U);
+    }
+}
+
 Test(worker_pool, a_worker_is_quarantined_after_consecutive_failures)
 {
     worker_pool pool;
