No work is placed by a worker list that is out of date

Cause: nothing looked at the age of the list.

Evidence: nothing_is_placed_by_a_worker_list_that_is_out_of_date and reserved_tasks_wait_for_a_worker_list_that_is_up_to_date found starts 3 s and more after the last answered read, the former on a worker without any capacity left.

Planning passes and starts of reserved tasks now require that all changes up to 3 s ago have been read. A capacity that shrinks is listed within 1.5 s and must be respected 4.5 s after the change. While calls succeed, the list is 2.25 s old at most, so that normal work is not delayed (an_unchanged_worker_list_does_not_delay_work). When the store is down, the leader lease ends first.

--- a/include/toucanlever/cell/dispatch_state.hpp
+++ b/include/toucanlever/cell/dispatch_state.hpp
@@ -57,6 +57,9 @@
     std::function<void()> on_work_changed;
     /// All jobs that were stored before this time have been read.
     std::function<time_point()> jobs_read_until;
+    /// False when the workers' capacities were last read so long ago that no
+    /// work may be placed by them.
+    std::function<bool()> is_worker_list_current;
     work_registry registry;
     worker_pool pool;
 };
--- a/include/toucanlever/cell/worker_roster.hpp
+++ b/include/toucanlever/cell/worker_roster.hpp
@@ -31,6 +31,9 @@
 
     /// Starts reading; `on_read` may be called from within.
     void start_reading();
+    /// False when the platform's list was last read too long ago to place work
+    /// by its capacities.
+    bool is_list_current() const;
     bool is_read() const { return this->list_read && this->recorded_rows; }
 
     /// Starts polling all workers; called once everything in the store has been
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -23,7 +23,8 @@
     leader_proof proof, std::function<void(std::string const&)> on_replaced)
     : state{std::move(collaborators), proof, std::move(on_replaced),
           [this] { this->planner.schedule_pass(); },
-          [this] { return this->job_follower->fresh_at(); }, {}, {}}
+          [this] { return this->job_follower->fresh_at(); },
+          [this] { return this->roster.is_list_current(); }, {}, {}}
     , cleaner(this->state.dependencies.loop, this->state.dependencies.store)
     , journal(
           this->state.dependencies.loop, this->state.dependencies.store, proof,
--- a/src/cell/reserved_task_starter.cpp
+++ b/src/cell/reserved_task_starter.cpp
@@ -108,8 +108,9 @@
     registry_job& job, registry_step& step)
 {
     // The advice for the reservations may arrive after the leader lease has
-    // expired.
-    if (!job.open() || !this->state.dependencies.may_start_work())
+    // expired, or after the capacities have become out of date.
+    if (!job.open() || !this->state.dependencies.may_start_work() ||
+        !this->state.is_worker_list_current())
     {
         this->release_reserved(step, true);
         return;
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -79,7 +79,8 @@
 
 void step_planner::run_pass()
 {
-    if (!this->state.dependencies.may_start_work())
+    if (!this->state.dependencies.may_start_work() ||
+        !this->state.is_worker_list_current())
     {
         return;
     }
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -16,6 +16,12 @@
     return {tables::workers, tables::scheduler_part, worker};
 }
 
+/// Capacities that were read longer ago are not used. A worker lists a smaller
+/// capacity within 1.5 s, and must not be filled beyond it 4.5 s after the
+/// change. The follower's calls take up to 1 s and are 250 ms apart, so the
+/// list is 2.25 s old at most while they succeed.
+constexpr milliseconds max_list_age{3000};
+
 } // namespace
 
 worker_roster::worker_roster(
@@ -50,6 +56,14 @@
         });
 }
 
+bool worker_roster::is_list_current() const
+{
+    return this->list_follower != nullptr &&
+           this->state.dependencies.loop.now() -
+                   this->list_follower->fresh_at() <
+               max_list_age;
+}
+
 void worker_roster::notify_if_read()
 {
     if (this->is_read() && !this->read_notified)
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1076,6 +1076,63 @@
     }
 }
 
+Test(dispatcher, nothing_is_placed_by_a_worker_list_that_is_out_of_date)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(second);
+    fixture.store.unreadable_tables = {"workers-listed"};
+    fixture.list_capacity("w0", 0);
+    fixture.run_for(3 * second);
+    fixture.submit("a", 1);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.all_starts.empty());
+    fixture.store.unreadable_tables.clear();
+    fixture.list_capacity("w0", 1000);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+}
+
+Test(dispatcher, reserved_tasks_wait_for_a_worker_list_that_is_up_to_date)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("full", 4);
+    fixture.run_for(second);
+    fixture.submit("a", 4,
+        [](work_record& job) {
+            job.queue.advice = {true, 5000, 100};
+        });
+    // The ticket of the first answer expires.
+    fixture.run_for(4 * second);
+    std::vector<std::function<void()>> held;
+    fixture.advice.answer_later =
+        [&held](placement_advice::callback done, advice_result const& result)
+    { held.push_back([done, result] { done(result); }); };
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert_not(held.empty());
+    fixture.store.unreadable_tables = {"workers-listed"};
+    fixture.run_for(4 * second);
+    held.front()();
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 0U);
+}
+
+Test(dispatcher, an_unchanged_worker_list_does_not_delay_work)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    for (int i = 0; i < 100; ++i)
+    {
+        fixture.submit("job-" + std::to_string(i), 1);
+        fixture.run_for(milliseconds(100));
+        cr_assert(fixture.workers.running_count() == 1U, "job %d", i);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(milliseconds(100));
+    }
+}
+
 Test(
     dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
 {
--- a/tests/unit/fake_record_store.hpp
+++ b/tests/unit/fake_record_store.hpp
@@ -70,7 +70,7 @@
         std::string const& from, std::string const& until,
         read_callback done) override
     {
-        if (this->unavailable || this->rejecting)
+        if (this->fails_reads_of(table))
         {
             done({});
             return;
@@ -115,7 +115,7 @@
     void changes(std::string const& table, std::int64_t after,
         milliseconds wait, read_callback done) override
     {
-        if (this->unavailable || this->rejecting)
+        if (this->fails_reads_of(table))
         {
             done({});
             return;
@@ -172,6 +172,8 @@
     bool unavailable = false;
     /// Reads fail, and transactions end as not done.
     bool rejecting = false;
+    /// Reads of these tables fail.
+    std::set<std::string> unreadable_tables;
     /// The next read of changes reports a lost history, once.
     bool history_lost = false;
     /// Number of transactions that are executed but end in doubt.
@@ -195,6 +197,12 @@
         read_callback done;
     };
 
+    bool fails_reads_of(std::string const& table) const
+    {
+        return this->unavailable || this->rejecting ||
+               this->unreadable_tables.contains(table);
+    }
+
     change_result apply(record_change const& change)
     {
         change_result result;
@@ -239,10 +247,12 @@
         if (found != this->pending_calls.end())
         {
             read_callback done = std::move(found->done);
+            bool fails = this->unavailable ||
+                         this->unreadable_tables.contains(found->table);
             this->pending_calls.erase(found);
-            done(this->unavailable ? read_result{}
-                                   : read_result{read_outcome::answered, {},
-                                         this->version, false});
+            done(fails ? read_result{}
+                       : read_result{
+                             read_outcome::answered, {}, this->version, false});
         }
     }
 
@@ -269,7 +279,8 @@
                     result.rows.push_back(row);
                 }
             }
-            if (result.rows.empty())
+            if (result.rows.empty() ||
+                this->unreadable_tables.contains(call.table))
             {
                 this->pending_calls.push_back(std::move(call));
                 continue;
