A restarted worker gets work only by the entry of its new incarnation

Cause: a report makes the worker usable again, whichever incarnation its entry describes.

Evidence: a_restarted_worker_gets_no_work_until_its_entry_is_up_to_date found a run on the new incarnation while the list showed the old one.

A worker is not usable while the start time in its entry and the one in its last report are both known and differ.

--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -101,11 +101,19 @@
     // Invariant: the number of allocations whose need is not known.
     std::uint32_t unknown_needs = 0;
 
+    /// True unless `entry` is known to describe another incarnation than the
+    /// one that answered last, which may differ in capacity and labels.
+    bool is_entry_current() const
+    {
+        return this->entry.started_ms == 0 || this->incarnation_ms == 0 ||
+               this->entry.started_ms == this->incarnation_ms;
+    }
+
     /// True when new work may be placed on it now.
     bool is_usable(time_point now) const
     {
-        return this->reconciled && this->recorded && !this->silent &&
-               !this->unlisted && !this->entry.leaving &&
+        return this->is_entry_current() && this->reconciled && this->recorded &&
+               !this->silent && !this->unlisted && !this->entry.leaving &&
                this->unknown_needs == 0 && now >= this->quarantined_until;
     }
 };
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1133,6 +1133,31 @@
     }
 }
 
+Test(dispatcher, a_restarted_worker_gets_no_work_until_its_entry_is_up_to_date)
+{
+    cell_fixture fixture(1);
+    fixture.list_changed_worker(
+        "w0", [](worker_entry& entry) { entry.started_ms = 1; });
+    fixture.begin_term();
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 0U);
+    fixture.list_changed_worker("w0",
+        [](worker_entry& entry)
+        {
+            entry.started_ms = 2;
+            entry.capacity.cpu_millis = 1000;
+        });
+    fixture.submit("b", 4);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 1U);
+}
+
 Test(
     dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
 {
