A report without a start time keeps the known incarnation

Would be seen: a worker restarts after a report without a start time. The restart is not noticed, so the completions of the new incarnation, whose numbers start anew, are taken for ones already seen.

Cause: the missing value replaced the known one, and an unknown incarnation is never different.

Evidence: with the old code, a_report_without_a_start_time_does_not_hide_a_ restart finds that the job has not ended. The fake worker's watch now discards the completions that the order acknowledges, not those up to the highest number acknowledged to an earlier incarnation.

--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -27,7 +27,10 @@
     {
         this->handle_restart(lease);
     }
-    worker.incarnation_ms = report.started_ms;
+    if (report.started_ms != 0)
+    {
+        worker.incarnation_ms = report.started_ms;
+    }
     if (worker.silent)
     {
         this->forget_unsettled_starts(id);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1158,6 +1158,26 @@
     cr_assert(fixture.workers.running_count() == 1U);
 }
 
+Test(dispatcher, a_report_without_a_start_time_does_not_hide_a_restart)
+{
+    cell_fixture fixture(1);
+    fixture.run_one_task();
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.started_ms = 0;
+    fixture.run_for(second);
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    fixture.submit("b", 1);
+    fixture.run_for(second);
+    // Its number is that of a completion of the earlier incarnation.
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.state_of("b") == work_state::succeeded);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
 Test(
     dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
 {
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -132,8 +132,8 @@
             worker, order.fencing_token, order.lease_until_ms);
         worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
         std::erase_if(worker.completions,
-            [&worker](completed_run const& completion)
-            { return completion.number <= worker.acknowledged; });
+            [&order](completed_run const& completion)
+            { return completion.number <= order.acknowledged; });
         result.outcome = order_outcome::done;
         result.clock_ms = this->clock();
         result.started_ms = worker.started_ms;
