A worker of another incarnation is reported once, not with each poll

Would be seen: an entry that names the address of a worker under another id, for instance an old entry after a move, is answered by another incarnation.

Cause: only a loss by expiry was remembered until the next report.

Evidence: another_incarnation_is_reported_once_until_the_worker_answers counted more than one loss in 3 s.

Both losses now set the same flag, which the next report clears.

--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -145,8 +145,12 @@
     if (result.outcome == order_outcome::other_incarnation)
     {
         this->schedule_poll(retry_delay);
-        this->listener.on_lost(
-            *this, "another incarnation of the worker answered");
+        if (!this->lost)
+        {
+            this->lost = true;
+            this->listener.on_lost(
+                *this, "another incarnation of the worker answered");
+        }
         return;
     }
     if (result.outcome != order_outcome::done || result.clock_ms < 0)
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -23,6 +23,8 @@
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
     bool silent = false;
+    /// Watches are answered by another incarnation at its address.
+    bool replaced = false;
     /// How many of the next starts are carried out without a reply.
     int lose_replies = 0;
     /// Starts get no reply and are queued until `deliver_delayed_starts`.
@@ -122,6 +124,12 @@
             done(result);
             return;
         }
+        if (worker.replaced)
+        {
+            result.outcome = order_outcome::other_incarnation;
+            done(result);
+            return;
+        }
         if (order.fencing_token < worker.fencing_token)
         {
             result.outcome = order_outcome::refused_fenced;
--- a/tests/unit/worker_lease.tests.cpp
+++ b/tests/unit/worker_lease.tests.cpp
@@ -55,6 +55,7 @@
     void on_lost(worker_lease&, std::string const&) override
     {
         this->lost_at = this->loop.now();
+        ++this->losses;
     }
 
     void on_fenced(worker_lease&) override { ++this->fenced; }
@@ -67,6 +68,7 @@
     int completions = 0;
     int unresponsive_polls = 0;
     int fenced = 0;
+    int losses = 0;
     time_point lost_at{};
     worker_lease lease;
 };
@@ -152,3 +154,18 @@
     fixture.run_for(second);
     cr_assert(fixture.fenced > 0);
 }
+
+Test(
+    worker_lease, another_incarnation_is_reported_once_until_the_worker_answers)
+{
+    lease_fixture fixture;
+    fixture.run_for(second);
+    fixture.worker().replaced = true;
+    fixture.run_for(3 * second);
+    cr_assert(fixture.losses == 1);
+    fixture.worker().replaced = false;
+    fixture.run_for(second);
+    fixture.worker().replaced = true;
+    fixture.run_for(second);
+    cr_assert(fixture.losses == 2);
+}
