--- a/include/toucanlever/cell/worker_roster.hpp
+++ b/include/toucanlever/cell/worker_roster.hpp
@@ -31,6 +31,9 @@
 
     /// Starts reading; `on_read` may be called from within.
     void start_reading();
+    /// False when the platform's list was last read too long ago to place work
+    /// by its capacities.
+    bool is_list_current() const;
     bool is_read() const { return this->list_read && this->recorded_rows; }
 
     /// Starts polling all workers; called once everything in the store has been
@@ -61,6 +64,8 @@
     /// whole list, and a worker without a row is unlisted; otherwise they are
     /// changes.
     void on_worker_rows(std::vector<record> const& rows, bool complete);
+    /// Logs a row that describes no usable worker, once until that changes.
+    void note_unusable_entry(record const& row);
     void take_recorded_rows(std::vector<record> rows);
     void notify_if_read();
     void update_worker(worker_entry const& entry);
@@ -91,6 +96,8 @@
     bool read_notified = false;
     // Workers of earlier schedulers that have not answered, by id.
     std::set<std::string> unreconciled;
+    // Keys of the rows of the list that describe no usable worker.
+    std::set<std::string> unusable_entries;
     // Listed workers that are not recorded in the store yet.
     std::set<std::string> to_record;
     // Removed workers whose records are to be deleted from the store.
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -3,6 +3,7 @@
 #include "cell/cell_tables.hpp"
 
 #include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
 namespace toucanlever
@@ -15,6 +16,12 @@
     return {tables::workers, tables::scheduler_part, worker};
 }
 
+/// Capacities that were read longer ago are not used. A worker lists a smaller
+/// capacity within 1.5 s, and must not be filled beyond it 4.5 s after the
+/// change. The follower's calls take up to 1 s and are 250 ms apart, so the
+/// list is 2.25 s old at most while they succeed.
+constexpr milliseconds max_list_age{3000};
+
 } // namespace
 
 worker_roster::worker_roster(
@@ -49,6 +56,14 @@
         });
 }
 
+bool worker_roster::is_list_current() const
+{
+    return this->list_follower != nullptr &&
+           this->state.dependencies.loop.now() -
+                   this->list_follower->fresh_at() <
+               max_list_age;
+}
+
 void worker_roster::notify_if_read()
 {
     if (this->is_read() && !this->read_notified)
@@ -106,9 +121,11 @@
                                        row.at.key, row.value);
         if (!entry)
         {
+            this->note_unusable_entry(row);
             this->unlist_worker(row.at.key);
             continue;
         }
+        this->unusable_entries.erase(entry->id);
         listed.insert(entry->id);
         this->update_worker(*entry);
     }
@@ -125,6 +142,22 @@
     this->state.on_work_changed();
 }
 
+void worker_roster::note_unusable_entry(record const& row)
+{
+    if (row.removed)
+    {
+        this->unusable_entries.erase(row.at.key);
+    }
+    else if (this->unusable_entries.insert(row.at.key).second)
+    {
+        log_line("worker-entry-unusable")
+            .with("worker", row.at.key)
+            .with("version", row.version)
+            .with("bytes", row.value.size());
+        metrics().count("worker_entries_unusable");
+    }
+}
+
 void worker_roster::update_worker(worker_entry const& entry)
 {
     pool_worker& worker = this->state.pool.put(entry);
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -23,6 +23,8 @@
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
     bool silent = false;
+    /// Watches are answered by another incarnation at its address.
+    bool replaced = false;
     /// How many of the next starts are carried out without a reply.
     int lose_replies = 0;
     /// Starts get no reply and are queued until `deliver_delayed_starts`.
@@ -122,6 +124,12 @@
             done(result);
             return;
         }
+        if (worker.replaced)
+        {
+            result.outcome = order_outcome::other_incarnation;
+            done(result);
+            return;
+        }
         if (order.fencing_token < worker.fencing_token)
         {
             result.outcome = order_outcome::refused_fenced;
@@ -132,8 +140,8 @@
             worker, order.fencing_token, order.lease_until_ms);
         worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
         std::erase_if(worker.completions,
-            [&worker](completed_run const& completion)
-            { return completion.number <= worker.acknowledged; });
+            [&order](completed_run const& completion)
+            { return completion.number <= order.acknowledged; });
         result.outcome = order_outcome::done;
         result.clock_ms = this->clock();
         result.started_ms = worker.started_ms;
--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -2,6 +2,7 @@
 /// project's types.
 #include "base64.hpp"
 #include "decode.hpp"
+#include "json_reader.hpp"
 #include "platform_settings.hpp"
 
 #include "toucanlever/core/error.hpp"
@@ -57,6 +58,33 @@
     return result;
 }
 
+/// A usable entry of a worker with some members replaced; null removes one.
+std::string worker_body(std::string const& changes)
+{
+    json body = json::parse(
+        R"({"Service":"s","Address":"10.0.0.1:1","Zone":"z","State":"ready",
+            "Capacity":{"Cpu":16000,"MemoryRequestMb":2,"Gpus":1},
+            "Labels":["a","r1-3"],"born":77})");
+    body.merge_patch(json::parse(changes));
+    return body.dump();
+}
+
+std::string nested(std::string const& open, std::string const& close)
+{
+    constexpr int depth = 100000;
+    std::string body;
+    for (int i = 0; i < depth; ++i)
+    {
+        body += open;
+    }
+    body += "1";
+    for (int i = 0; i < depth; ++i)
+    {
+        body += close;
+    }
+    return body;
+}
+
 } // namespace
 
 Test(strekbod, a_job_is_decoded_with_its_steps)
@@ -103,6 +131,124 @@
     cr_assert(worker->started_ms == 77);
 }
 
+Test(strekbod, deeply_nested_entries_yield_no_worker)
+{
+    for (std::string const& body : {nested("[", "]"), nested("{\"a\":", "}"),
+             nested("[{\"a\":", "}]"), std::string(100000, '[')})
+    {
+        cr_assert_not(decode_worker("id", body).has_value());
+    }
+    std::string body = worker_body("{}");
+    body.insert(1, "\"Capacity\":" + nested("[", "]") + ",");
+    body.replace(body.rfind("\"Capacity\""), 10, "\"Capacitx\"");
+    cr_assert_not(decode_worker("id", body).has_value());
+}
+
+Test(strekbod, a_capacity_that_is_out_of_range_yields_no_worker)
+{
+    cr_assert(decode_worker("id", worker_body("{}")).has_value());
+    for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus"})
+    {
+        for (char const* value :
+            {"1e300", "-1e300", "-1", "-0.5", "1e10", "9223372036854775807",
+                "18446744073709551615", "\"NaN\"", "\"16000\"", "[]", "true"})
+        {
+            std::string changes =
+                std::string(R"({"Capacity":{")") + field + "\":" + value + "}}";
+            cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+                "%s", changes.c_str());
+        }
+    }
+    for (char const* capacity : {"[]", "7", "\"\""})
+    {
+        std::string changes = std::string(R"({"Capacity":)") + capacity + "}";
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value());
+    }
+    auto worker = decode_worker("id",
+        worker_body(R"({"Capacity":{"Cpu":8e3,"MemoryRequestMb":null}})"));
+    cr_assert(worker->capacity.cpu_millis == 8000);
+    cr_assert(worker->capacity.memory_bytes == 0);
+}
+
+Test(strekbod, an_address_that_no_worker_can_have_yields_no_worker)
+{
+    for (char const* address :
+        {"10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:70000", "10.0.0.1:-1",
+            "10.0.0.1:+1", "10.0.0.1:1e3", "10.0.0.1:80/path", "10.0.0.1:80#",
+            "10.0.0.1:80?a=b", "u@10.0.0.1:80", "10.0.0.1:80\\r\\nX: y",
+            "10.0.0.1 :80", "10.0.0.1\\u0000x:80", "10.0.0.1:80\\u0000",
+            "[::1]:80", "host:80", "10.0.0.256:80", ":80", ""})
+    {
+        std::string changes = std::string(R"({"Address":")") + address + "\"}";
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+            "%s", address);
+    }
+}
+
+Test(strekbod, an_entry_with_fields_of_another_type_yields_no_worker)
+{
+    for (char const* changes : {R"({"Zone":7})", R"({"Labels":"a"})",
+             R"({"Labels":{"a":1}})", R"({"Labels":["a",7]})",
+             R"({"Labels":[["a"]]})", R"({"born":"77"})", R"({"born":-1})",
+             R"({"born":1e300})", R"({"born":18446744073709551615})"})
+    {
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value(),
+            "%s", changes);
+    }
+    cr_assert(decode_worker("id", worker_body(R"({"Zone":null,"Labels":null,
+            "born":null,"Slots":"x","Extra":[[1e300]]})"))
+                  .has_value());
+}
+
+Test(strekbod, an_id_that_cannot_be_sent_in_a_header_yields_no_worker)
+{
+    for (std::string const& id : {std::string(), std::string("a\r\nX: y"),
+             std::string("a b"), std::string("a\0b", 3),
+             std::string("\xc3\xa9"), std::string(300, 'a')})
+    {
+        cr_assert_not(decode_worker(id, worker_body("{}")).has_value());
+    }
+}
+
+Test(strekbod, an_entry_too_large_to_be_recorded_yields_no_worker)
+{
+    std::string const text(60000, 'a');
+    for (std::string const& changes : {R"({"Labels":[")" + text + "\"]}",
+             R"({"Zone":")" + text + "\"}", R"({"Service":")" + text + "\"}",
+             json{{"Labels", std::vector<std::string>(10000, "a")}}.dump()})
+    {
+        cr_assert_not(decode_worker("id", worker_body(changes)).has_value());
+    }
+}
+
+Test(strekbod, a_job_with_an_amount_out_of_range_is_refused)
+{
+    for (char const* field : {"Cpu", "MemoryRequestMb", "Gpus", "Count"})
+    {
+        for (char const* value :
+            {"-1", "1e300", "9223372036854775807", "18446744073709551615"})
+        {
+            std::string body =
+                std::string(R"({"Steps":[{")") + field + "\":" + value + "}]}";
+            cr_assert(problem_of(body).starts_with(field), "%s", body.c_str());
+        }
+    }
+}
+
+Test(strekbod, numbers_out_of_range_in_a_report_are_limited_to_the_range)
+{
+    watch_result result = decode_watch(
+        R"({"ClockMs":1e300,"born":1e300,
+            "Running":[["a.0.1.17",1e300,"cp",1e300]],
+            "Finished":[[1e300,"a.0.1.9",-1e300,"done",""]]})");
+    constexpr std::int64_t max = std::numeric_limits<std::int64_t>::max();
+    cr_assert(result.clock_ms == max);
+    cr_assert(result.running.at(0).run == static_cast<std::uint64_t>(max));
+    cr_assert(result.running.at(0).progress == 100);
+    cr_assert(result.completions.at(0).number == max);
+    cr_assert(result.completions.at(0).run == 0U);
+}
+
 Test(strekbod, a_configuration_gives_routes_and_terms)
 {
     auto configuration = decode_configuration(
@@ -165,6 +311,16 @@
     cr_assert_not(decode_base64("****").has_value());
 }
 
+Test(strekbod, base64_with_misplaced_padding_or_spaces_is_refused)
+{
+    for (char const* text :
+        {"=", "==", "===", "====", "========", "Y===", "YQ=", "YQ", "YQ==\n",
+            "YQ==YQ==", " YQ==", "YQ= ", "Y=Q=", "=YQ="})
+    {
+        cr_assert_not(decode_base64(text).has_value(), "%s", text);
+    }
+}
+
 Test(strekbod, settings_are_checked_with_file_line_and_key)
 {
     std::string const good = "name: n\nfailure_domain: z\n"
