--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -81,6 +81,16 @@
     }
 };
 
+/// A start without a reply whose allocation has been released, because the
+/// worker confirmed a stop. The next incarnation does not know of the stop.
+struct late_start
+{
+    task_id task;
+    std::uint64_t run = 0;
+    resources need;
+    time_point sent_at{};
+};
+
 /// A worker, its state and its allocations.
 struct pool_worker
 {
@@ -108,6 +118,8 @@
     time_point quarantined_until{};
     // Invariant: free + needs of all allocations == entry.capacity.
     std::map<task_id, task_allocation> allocations;
+    // At most one for each task, the one of its highest run.
+    std::vector<late_start> late_starts;
     // Invariant: the number of allocations whose need is not known.
     std::uint32_t unknown_needs = 0;
     // Invariant: the number of isolated allocations.
@@ -116,11 +128,19 @@
     /// for them.
     bool kept_for_isolation = false;
 
+    /// True unless `entry` is known to describe another incarnation than the
+    /// one that answered last, which may differ in capacity and labels.
+    bool is_entry_current() const
+    {
+        return this->entry.started_ms == 0 || this->incarnation_ms == 0 ||
+               this->entry.started_ms == this->incarnation_ms;
+    }
+
     /// True when new work may be placed on it now.
     bool is_usable(time_point now) const
     {
-        return this->reconciled && this->recorded && !this->silent &&
-               !this->unlisted && !this->entry.leaving &&
+        return this->is_entry_current() && this->reconciled && this->recorded &&
+               !this->silent && !this->unlisted && !this->entry.leaving &&
                this->unknown_needs == 0 && now >= this->quarantined_until;
     }
 
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -5,6 +5,7 @@
 #include "toucanlever/cell/task_orders.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,7 @@
 
     /// Releases the allocations of the worker's previous incarnation, except
     /// those whose start may still reach the new one: these runs are stopped.
-    void handle_restart(worker_lease& lease);
+    void handle_restart(worker_lease& lease, watch_result const& report);
     void apply_held_reports();
     void release_unsettled_starts();
     void forget_unsettled_starts(std::string const& worker);
@@ -107,7 +108,9 @@
     /// capacity is free at once, but these tasks wait again only when the crash
     /// is durable, so that every successor counts it. `starts_may_arrive` as
     /// for `release_lost_allocations`.
-    void record_crash(std::string const& id, bool starts_may_arrive);
+    /// `started_since` are runs that the next incarnation has started.
+    void record_crash(std::string const& id, bool starts_may_arrive,
+        std::set<std::pair<task_id, std::uint64_t>> const& started_since);
     /// The runs on a crashed worker that may have caused the crash.
     std::vector<placed_run> find_suspects(pool_worker const& worker);
     /// A long-running task sees many workers crash in its time, so that only a
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -25,9 +25,12 @@
     if (worker.incarnation_ms != 0 && report.started_ms != 0 &&
         worker.incarnation_ms != report.started_ms)
     {
-        this->handle_restart(lease);
+        this->handle_restart(lease, report);
+    }
+    if (report.started_ms != 0)
+    {
+        worker.incarnation_ms = report.started_ms;
     }
-    worker.incarnation_ms = report.started_ms;
     if (worker.silent)
     {
         this->forget_unsettled_starts(id);
@@ -73,7 +76,7 @@
     bool crashed = cause == loss_cause::other_incarnation;
     if (crashed)
     {
-        this->record_crash(id, false);
+        this->record_crash(id, false, {});
     }
     // Orders name the incarnation, so another one carries none of them out.
     this->release_lost_allocations(id, reason, !crashed);
@@ -94,11 +97,17 @@
         "worker " + lease.target().id + " has seen a higher fencing token");
 }
 
-void worker_reports::handle_restart(worker_lease& lease)
+void worker_reports::handle_restart(
+    worker_lease& lease, watch_result const& report)
 {
     log_line("worker-restarted").with("worker", lease.target().id);
     lease.reset_incarnation();
-    this->record_crash(lease.target().id, true);
+    std::set<std::pair<task_id, std::uint64_t>> started_since;
+    for (running_task const& running : report.running)
+    {
+        started_since.emplace(running.task, running.run);
+    }
+    this->record_crash(lease.target().id, true, started_since);
     // The new incarnation has seen no stop and no fencing token, so it would
     // carry out orders that were sent to the old one and are still in flight.
     lease.assume_earlier_grants();
@@ -114,6 +123,7 @@
     }
     this->release_lost_allocations(
         lease.target().id, "the worker restarted", true);
+    this->orders.bar_late_starts(lease.target().id);
 }
 
 void worker_reports::release_lost_allocations(
@@ -239,13 +249,18 @@
     return suspects;
 }
 
-void worker_reports::record_crash(std::string const& id, bool starts_may_arrive)
+void worker_reports::record_crash(std::string const& id, bool starts_may_arrive,
+    std::set<std::pair<task_id, std::uint64_t>> const& started_since)
 {
     pool_worker const& worker = *this->state.pool.find(id);
     // A worker that leaves ends its runs, too.
-    std::vector<placed_run> const suspects = worker.entry.leaving
-                                                 ? std::vector<placed_run>{}
-                                                 : this->find_suspects(worker);
+    std::vector<placed_run> suspects = worker.entry.leaving
+                                           ? std::vector<placed_run>{}
+                                           : this->find_suspects(worker);
+    std::erase_if(suspects,
+        [&started_since](placed_run const& each) {
+            return started_since.contains({each.first, each.second.run});
+        });
     if (suspects.empty())
     {
         return;
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -5,6 +5,7 @@
 #include "fake_record_store.hpp"
 #include "fake_workers.hpp"
 
+#include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
 #include <criterion/criterion.h>
@@ -17,6 +18,8 @@
 
 constexpr milliseconds second{1000};
 constexpr std::int64_t worker_cpu = 4000;
+/// A row of the worker list that describes no worker.
+constexpr char unusable_entry[] = "unusable";
 
 /// An external placement policy that approves every worker that is not in
 /// `refused`, or answers that it is busy.
@@ -62,13 +65,20 @@
     }
 
     void list_worker(std::string const& id, bool leaving = false)
+    {
+        this->list_changed_worker(
+            id, [leaving](worker_entry& entry) { entry.leaving = leaving; });
+    }
+
+    void list_changed_worker(
+        std::string const& id, std::function<void(worker_entry&)> const& change)
     {
         worker_entry entry;
         entry.id = id;
         entry.address = id;
         entry.service = "s";
-        entry.leaving = leaving;
         entry.capacity = {worker_cpu, 1 << 20, 0};
+        change(entry);
         this->store.set({"workers-listed", "", id}, pack(entry));
     }
 
@@ -93,7 +103,11 @@
         dispatcher_dependencies parts{this->loop, this->store, this->workers,
             *this->broker, this->queues, "workers-listed",
             [](std::string const&, std::string const& value)
-            { return std::optional(unpack<worker_entry>(value, "test")); },
+            {
+                return value == unusable_entry
+                           ? std::nullopt
+                           : std::optional(unpack<worker_entry>(value, "test"));
+            },
             [this] { return this->may_start; }, milliseconds(1300),
             this->heartbeat, [] { return time_point::max(); },
             milliseconds(60000), false};
@@ -104,6 +118,12 @@
         return *this->term;
     }
 
+    void list_capacity(std::string const& id, std::int64_t cpu_millis)
+    {
+        this->list_changed_worker(id, [cpu_millis](worker_entry& entry)
+            { entry.capacity.cpu_millis = cpu_millis; });
+    }
+
     void end_term() { this->term.reset(); }
 
     /// The state of a job; no value when the scheduler does not know the job.
@@ -650,6 +670,28 @@
     cr_assert(fixture.workers.running_count() <= 1U);
 }
 
+Test(dispatcher, a_late_start_after_a_confirmed_stop_is_barred_by_a_restart)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.delay_starts = true;
+    fixture.submit("a", 1);
+    fixture.run_for(milliseconds(50));
+    std::vector<start_order> const late = worker.delayed_starts;
+    fixture.list_worker("w0", true);
+    fixture.list_worker("w1");
+    // The stop is confirmed, and the task is started elsewhere.
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.workers["w1"].running.size() == 1U);
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    fixture.run_for(second);
+    worker.delayed_starts = late;
+    fixture.workers.deliver_delayed_starts("w0");
+    cr_assert(fixture.workers.running_count() == 1U);
+}
+
 Test(dispatcher, a_late_start_on_a_lost_worker_does_not_run_beside_another)
 {
     cell_fixture fixture(1);
@@ -1016,6 +1058,230 @@
     cr_assert(fixture.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
 }
 
+Test(
+    dispatcher, a_worker_whose_capacity_has_shrunk_waits_until_enough_has_ended)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("a", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    fixture.list_capacity("w0", 2000);
+    fixture.submit("b", 1);
+    for (std::uint32_t i = 0; i < 2; ++i)
+    {
+        fixture.run_for(2 * second);
+        fixture.workers.end_run("w0", {{"a", 0, 0}, i}, run_outcome::succeeded);
+    }
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 2U);
+    fixture.workers.end_run("w0", {{"a", 0, 0}, 2}, run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
+Test(dispatcher, waiting_tasks_start_when_a_capacity_grows)
+{
+    cell_fixture fixture(1);
+    fixture.list_capacity("w0", 1000);
+    fixture.begin_term();
+    fixture.submit("a", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.list_capacity("w0", 3000);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 3U);
+}
+
+Test(dispatcher, tasks_reserved_before_a_capacity_shrank_are_not_started)
+{
+    for (bool gang : {false, true})
+    {
+        cell_fixture fixture(1);
+        fixture.begin_term();
+        fixture.submit("full", 4);
+        fixture.run_for(second);
+        fixture.submit("a", 4,
+            [gang](work_record& job)
+            {
+                job.queue.advice = {true, 5000, 100};
+                job.steps[0].gang = gang;
+            });
+        // The tickets of the first answer expire.
+        fixture.run_for(4 * second);
+        std::vector<std::function<void()>> held;
+        fixture.advice.answer_later = [&held](placement_advice::callback done,
+                                          advice_result const& result)
+        { held.push_back([done, result] { done(result); }); };
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(second);
+        cr_assert_not(held.empty());
+        fixture.list_capacity("w0", 2000);
+        fixture.run_for(2 * second);
+        while (!held.empty())
+        {
+            std::function<void()> answer = std::move(held.back());
+            held.pop_back();
+            answer();
+            fixture.run_for(milliseconds(100));
+        }
+        cr_assert(fixture.workers.running_count() == (gang ? 0U : 2U));
+    }
+}
+
+Test(dispatcher, nothing_is_placed_by_a_worker_list_that_is_out_of_date)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(second);
+    fixture.store.unreadable_tables = {"workers-listed"};
+    fixture.list_capacity("w0", 0);
+    fixture.run_for(3 * second);
+    fixture.submit("a", 1);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.all_starts.empty());
+    fixture.store.unreadable_tables.clear();
+    fixture.list_capacity("w0", 1000);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+}
+
+Test(dispatcher, reserved_tasks_wait_for_a_worker_list_that_is_up_to_date)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("full", 4);
+    fixture.run_for(second);
+    fixture.submit("a", 4,
+        [](work_record& job) {
+            job.queue.advice = {true, 5000, 100};
+        });
+    // The ticket of the first answer expires.
+    fixture.run_for(4 * second);
+    std::vector<std::function<void()>> held;
+    fixture.advice.answer_later =
+        [&held](placement_advice::callback done, advice_result const& result)
+    { held.push_back([done, result] { done(result); }); };
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert_not(held.empty());
+    fixture.store.unreadable_tables = {"workers-listed"};
+    fixture.run_for(4 * second);
+    held.front()();
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 0U);
+}
+
+Test(dispatcher, an_unchanged_worker_list_does_not_delay_work)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    for (int i = 0; i < 100; ++i)
+    {
+        fixture.submit("job-" + std::to_string(i), 1);
+        fixture.run_for(milliseconds(100));
+        cr_assert(fixture.workers.running_count() == 1U, "job %d", i);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(milliseconds(100));
+    }
+}
+
+Test(dispatcher, a_restarted_worker_gets_no_work_until_its_entry_is_up_to_date)
+{
+    cell_fixture fixture(1);
+    fixture.list_changed_worker(
+        "w0", [](worker_entry& entry) { entry.started_ms = 1; });
+    fixture.begin_term();
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 0U);
+    fixture.list_changed_worker("w0",
+        [](worker_entry& entry)
+        {
+            entry.started_ms = 2;
+            entry.capacity.cpu_millis = 1000;
+        });
+    fixture.submit("b", 4);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.running_count() == 1U);
+}
+
+Test(dispatcher, a_report_without_a_start_time_does_not_hide_a_restart)
+{
+    cell_fixture fixture(1);
+    fixture.run_one_task();
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.started_ms = 0;
+    fixture.run_for(second);
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    fixture.submit("b", 1);
+    fixture.run_for(second);
+    // Its number is that of a completion of the earlier incarnation.
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.state_of("b") == work_state::succeeded);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
+Test(
+    dispatcher, an_unusable_entry_in_the_list_changes_nothing_for_other_workers)
+{
+    cell_fixture fixture(2);
+    record_key const odd{"workers-listed", "", "odd"};
+    fixture.store.set(odd, unusable_entry);
+    fixture.begin_term();
+    fixture.submit("a", 8);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 8U);
+    // The entry of a worker that was usable.
+    fixture.store.set({"workers-listed", "", "w0"}, unusable_entry);
+    fixture.list_worker("w2");
+    fixture.run_for(second);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.submit("b", 8);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 8U);
+    cr_assert(fixture.workers.workers["w0"].running.empty());
+    fixture.list_worker("w0");
+    fixture.submit("c", 4);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.workers["w0"].running.size() == 4U);
+}
+
+Test(dispatcher, an_unusable_entry_is_logged_once_until_that_changes)
+{
+    cell_fixture fixture(1);
+    record_key const odd{"workers-listed", "", "odd"};
+    auto logged = []
+    {
+        std::string const text = metrics().prometheus();
+        constexpr std::string_view name =
+            "\ntoucanlever_worker_entries_unusable ";
+        auto at = text.find(name);
+        return at == text.npos ? 0 : std::stoi(text.substr(at + name.size()));
+    };
+    fixture.begin_term();
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.store.set(odd, unusable_entry);
+        fixture.run_for(second);
+    }
+    cr_assert(logged() == 1);
+    fixture.list_worker("odd");
+    fixture.run_for(second);
+    fixture.store.set(odd, unusable_entry);
+    fixture.run_for(second);
+    cr_assert(logged() == 2);
+}
+
 Test(
     dispatcher, a_task_that_crashes_every_worker_fails_and_is_not_started_again)
 {
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -23,7 +23,7 @@
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
     bool silent = false;
-    /// Another incarnation, with another id, answers in its place.
+    /// Watches are answered by another incarnation at its address.
     bool replaced = false;
     /// How many of the next starts are carried out without a reply.
     int lose_replies = 0;
@@ -60,11 +60,6 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
-        if (worker.replaced)
-        {
-            done({order_outcome::other_incarnation, this->clock(), {}});
-            return;
-        }
         if (worker.refuse_next)
         {
             order_outcome refusal = *worker.refuse_next;
@@ -108,11 +103,6 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
-        if (worker.replaced)
-        {
-            done({order_outcome::other_incarnation, this->clock(), {}});
-            return;
-        }
         worker.barred[order.task] =
             std::max(worker.barred[order.task], order.run);
         auto found = worker.running.find(order.task);
@@ -150,8 +140,8 @@
             worker, order.fencing_token, order.lease_until_ms);
         worker.acknowledged = std::max(worker.acknowledged, order.acknowledged);
         std::erase_if(worker.completions,
-            [&worker](completed_run const& completion)
-            { return completion.number <= worker.acknowledged; });
+            [&order](completed_run const& completion)
+            { return completion.number <= order.acknowledged; });
         result.outcome = order_outcome::done;
         result.clock_ms = this->clock();
         result.started_ms = worker.started_ms;
