Overdue long-running tasks are planned before all other work

Cause: a long-running step that was late fell into the last group of the planning order, behind a queue that is always late.

--- a/src/cell/step_order.cpp
+++ b/src/cell/step_order.cpp
@@ -11,6 +11,10 @@
     {
         return start_prospect::in_time;
     }
+    if (rank.long_running)
+    {
+        return start_prospect::overdue_long_running;
+    }
     return wall_ms <= rank.useless_start_ms ? start_prospect::late
                                             : start_prospect::useless;
 }
@@ -18,7 +22,7 @@
 std::vector<step_rank> order_steps(
     std::set<step_rank> const& ready, std::int64_t wall_ms, std::size_t limit)
 {
-    constexpr std::size_t prospects = 3;
+    constexpr std::size_t prospects = 4;
     std::array<std::vector<step_rank>, prospects> groups;
     for (step_rank const& rank : ready)
     {
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -166,7 +166,7 @@
                                  job.record.queue.slack_permille / permille;
     std::int64_t remaining = remaining_path_ms(job.record, step.id.step);
     return {job.record.queue.priority, due + objective - remaining, step.id,
-        due + objective * useful_factor - remaining};
+        due + objective * useful_factor - remaining, step.spec->long_running};
 }
 
 bool work_registry::is_ready(
--- a/tests/unit/step_order.tests.cpp
+++ b/tests/unit/step_order.tests.cpp
@@ -77,6 +77,17 @@
     cr_assert(names_of(order_steps(ready, 100, no_limit)) == expected);
 }
 
+Test(step_order, an_overdue_long_running_step_comes_before_all_others)
+{
+    step_rank overdue = make_rank("overdue", 2, 10, 20);
+    overdue.long_running = true;
+    step_rank early = make_rank("early", 2, 200, 400);
+    early.long_running = true;
+    std::set<step_rank> ready{make_rank("urgent", 0, 150, 400), overdue, early};
+    std::vector<std::string> const expected{"overdue", "urgent", "early"};
+    cr_assert(names_of(order_steps(ready, 100, no_limit)) == expected);
+}
+
 Test(step_order, the_limit_drops_the_least_useful_steps)
 {
     std::set<step_rank> ready{make_rank("useless", 0, 10, 20),
