A small leader hands over; cancellations are announced until acknowledged

Change: hellos carry the CPU share of instances that could be elected now; a leader below half a core hands over to one with twice its share. The notice of a cancellation, lost with its link so far, is repeated until a scheduler acknowledges it.

--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -22,8 +22,11 @@
     /// The configuration in force at the instance; 0 when there is none, and in
     /// a `member_list`.
     std::int64_t config_version = 0;
+    /// CPU share, in thousandths of a core, of an instance that could become
+    /// the active scheduler now; 0 when it could not, and in a `member_list`.
+    std::int64_t candidate_cpu_millis = 0;
 
-    MSGPACK_DEFINE(name, address, config_version)
+    MSGPACK_DEFINE(name, address, config_version, candidate_cpu_millis)
 };
 
 /// The active scheduler's reply to `member_hello`: the instances that sent a
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -6,6 +6,7 @@
 /// active scheduler, or from the store while there is none.
 #pragma once
 
+#include "toucanlever/cell/cancellation_notices.hpp"
 #include "toucanlever/cell/cell_settings.hpp"
 #include "toucanlever/cell/configuration_exchange.hpp"
 #include "toucanlever/cell/dispatcher.hpp"
@@ -125,11 +126,16 @@
     void store_cancellation(
         std::string const& job, std::function<void(lookup_result)> done);
     void announce_cancellation(std::string const& job);
+    /// Tells the active scheduler of a cancellation; `done` gets true when the
+    /// scheduler has acknowledged it.
+    void send_cancellation(
+        std::string const& job, std::function<void(bool)> done);
 
     cell_node_dependencies dependencies;
     cell_settings settings;
     configuration_exchange exchange;
     job_acceptor acceptor;
+    cancellation_notices cancellations;
     std::unique_ptr<rpc_server> server;
     // The link to the active scheduler when that is another instance.
     std::unique_ptr<rpc_client> leader_client;
--- a/include/toucanlever/cell/leadership.hpp
+++ b/include/toucanlever/cell/leadership.hpp
@@ -58,6 +58,19 @@
     leadership(event_loop& loop, record_store& store, leader_row self,
         double cpu_share, leadership_listener& listener);
 
+    /// True when this instance could claim a vacant leader row now.
+    bool can_be_elected() const;
+
+    /// Hands the term over when an instance with this CPU share, which can be
+    /// elected now, has much more CPU than this one: the scheduler of a large
+    /// cell needs more than a small instance has. Takes no part in the election
+    /// for `yield_period` then. No effect unless this instance is the leader.
+    void note_candidate(std::string const& name, double other_cpu_share);
+
+    /// Long enough for another instance to be elected; after it, this instance
+    /// is a candidate again, in case no other one was.
+    static constexpr milliseconds yield_period{2000};
+
     /// CPU cores with which, or with more, an instance does not delay its
     /// attempts, apart from a short random delay.
     static constexpr double full_cpu_share = 0.5;
@@ -117,10 +130,14 @@
     void handle_heartbeat_result(
         change_result const& result, time_point sent_at);
     bool is_heartbeat_due() const;
+    /// Writes that the leader row is vacant and ends the term.
+    void release_row(
+        std::string const& reason, std::function<void()> const& done);
 
     event_loop& loop;
     record_store& store;
     leader_row self;
+    double cpu_share;
     milliseconds election_delay;
     leadership_listener& listener;
     std::unique_ptr<record_follower> follower;
@@ -142,6 +159,8 @@
     bool claim_pending = false;
     bool heartbeat_pending = false;
     bool resigned = false;
+    // Claims nothing before this time.
+    time_point yields_until{};
     event_loop::timer_id timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -28,6 +28,7 @@
 constexpr milliseconds leader_unresponsive_after{1500};
 /// Long enough for a store that is 100 times as slow as the usual 10 ms.
 constexpr milliseconds cancel_commit_timeout{2000};
+constexpr double millis_per_core = 1000.0;
 
 } // namespace
 
@@ -37,6 +38,9 @@
     , settings(settings)
     , exchange(this->dependencies.loop, this->dependencies.configuration)
     , acceptor(this->dependencies.loop, this->dependencies.store, settings.name)
+    , cancellations(this->dependencies.loop,
+          [this](std::string const& job, std::function<void(bool)> done)
+          { this->send_cancellation(job, std::move(done)); })
     , relay(this->dependencies.loop, this->dependencies.orders)
 {
     event_loop& loop = this->dependencies.loop;
@@ -48,8 +52,12 @@
     this->election =
         std::make_unique<leadership>(loop, this->dependencies.store, self,
             settings.cpu_share, static_cast<leadership_listener&>(*this));
-    this->hello_timer =
-        loop.every(hello_period, [this] { this->send_hello(); });
+    this->hello_timer = loop.every(hello_period,
+        [this]
+        {
+            this->send_hello();
+            this->cancellations.resend();
+        });
     this->discovery = std::make_unique<leader_discovery>(
         loop, settings.name, [this] { return this->needs_leader(); },
         [this](leader_row const& row)
@@ -142,6 +150,11 @@
     }
     member_hello message{this->settings.name, this->settings.peer_address,
         this->exchange.version()};
+    message.candidate_cpu_millis =
+        this->election->can_be_elected()
+            ? static_cast<std::int64_t>(
+                  this->settings.cpu_share * millis_per_core)
+            : 0;
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
         [this, alive = this->alive](rpc_result const& result)
@@ -160,6 +173,19 @@
     {
         this->exchange.handle_peer_version(hello.config_version, *member);
     }
+    // Posted, because handing over the term destroys the links to the members,
+    // one of which is being answered.
+    this->dependencies.loop.post(
+        [this, name = hello.name,
+            cpu_share = static_cast<double>(hello.candidate_cpu_millis) /
+                        millis_per_core,
+            alive = this->alive]
+        {
+            if (*alive)
+            {
+                this->election->note_candidate(name, cpu_share);
+            }
+        });
 }
 
 void cell_node::announce_configuration()
@@ -499,19 +525,39 @@
     if (this->scheduler)
     {
         this->scheduler->cancel(job);
+        return;
     }
-    else if (this->leader_client && this->leader_client->connected())
+    this->cancellations.add(job);
+}
+
+void cell_node::send_cancellation(
+    std::string const& job, std::function<void(bool)> done)
+{
+    if (this->scheduler)
     {
-        this->leader_client->request(message_type::work_cancelled,
-            pack(work_cancelled{job}), announce_timeout,
-            [](rpc_result const&) {});
+        // It became the scheduler after the job was cancelled.
+        this->scheduler->cancel(job);
+        done(true);
+        return;
     }
+    if (!this->leader_client || !this->leader_client->connected())
+    {
+        done(false);
+        return;
+    }
+    this->leader_client->request(message_type::work_cancelled,
+        pack(work_cancelled{job}), announce_timeout,
+        [done = std::move(done)](rpc_result const& result)
+        {
+            done(!result.problem && result.reply &&
+                 result.reply->type == message_type::ack);
+        });
 }
 
 void cell_node::count_waiting(std::string const& queue,
     std::function<void(std::optional<std::uint64_t>)> done)
 {
-    if (this->scheduler && this->scheduler->is_loaded())
+    if (this->scheduler)
     {
         done(this->scheduler->waiting_jobs(queue));
         return;
@@ -628,15 +674,15 @@
     }
     case message_type::queue_query:
     {
-        if (!this->scheduler->is_loaded())
+        auto waiting = this->scheduler->waiting_jobs(
+            unpack<queue_query>(request.body, peer).queue);
+        if (!waiting)
         {
             throw error(error_code::unavailable,
-                "the scheduler is still loading its state from the store",
+                "the scheduler has no recent copy of the jobs in the store",
                 "route-message", this->settings.name);
         }
-        auto waiting = this->scheduler->waiting_jobs(
-            unpack<queue_query>(request.body, peer).queue);
-        respond(message_type::queue_reply, pack(queue_reply{waiting}));
+        respond(message_type::queue_reply, pack(queue_reply{*waiting}));
         return;
     }
     default:
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -32,6 +32,9 @@
 constexpr std::int64_t max_stagger_ms = 150;
 /// Long enough for a store that is 100 times as slow as the usual 10 ms.
 constexpr milliseconds commit_timeout{1500};
+/// A leader hands over to an instance with this many times its CPU. Less would
+/// not make up for the pause that each succession costs.
+constexpr double yield_factor = 2.0;
 
 milliseconds random_stagger()
 {
@@ -59,6 +62,7 @@
     : loop(loop)
     , store(store)
     , self(std::move(self))
+    , cpu_share(cpu_share)
     , election_delay(election_delay_for(cpu_share))
     , listener(listener)
     , last_change_seen_at(loop.now())
@@ -172,12 +176,7 @@
         }
         return;
     }
-    // Only an up-to-date copy of the rows shows that a heartbeat is missing.
-    bool is_fresh =
-        this->follower->has_snapshot() &&
-        this->loop.now() - this->follower->fresh_at() < vacancy_timeout;
-    if (this->resigned || this->claim_pending || !is_fresh ||
-        !this->is_vacant())
+    if (this->claim_pending || !this->can_be_elected() || !this->is_vacant())
     {
         return;
     }
@@ -192,9 +191,34 @@
         });
 }
 
+bool leadership::can_be_elected() const
+{
+    // Only an up-to-date copy of the rows shows that a heartbeat is missing.
+    time_point now = this->loop.now();
+    bool is_fresh = this->follower->has_snapshot() &&
+                    now - this->follower->fresh_at() < vacancy_timeout;
+    return is_fresh && !this->resigned && now >= this->yields_until;
+}
+
+void leadership::note_candidate(std::string const& name, double other_cpu_share)
+{
+    bool is_small = this->cpu_share < full_cpu_share;
+    if (!this->proof || !is_small ||
+        other_cpu_share < yield_factor * this->cpu_share)
+    {
+        return;
+    }
+    log_line("leadership-yielded")
+        .with("fence", this->proof->fencing_token)
+        .with("candidate", name);
+    this->yields_until = this->loop.now() + yield_period;
+    this->release_row("an instance with more CPU can be elected", [] {});
+}
+
 void leadership::claim_leadership()
 {
-    if (this->resigned || !this->is_vacant())
+    if (this->resigned || this->loop.now() < this->yields_until ||
+        !this->is_vacant())
     {
         this->claim_pending = false;
         return;
@@ -352,14 +376,20 @@
         done();
         return;
     }
+    this->release_row("the instance is shutting down", done);
+}
+
+void leadership::release_row(
+    std::string const& reason, std::function<void()> const& done)
+{
     leader_row released = *this->leader;
     released.released = true;
     record_change change;
     change.checks = {{tables::leader_row_key(), this->proof->row_version}};
     change.writes = {{tables::leader_row_key(), pack(released)}};
-    this->step_down("the instance is shutting down");
-    this->store.commit(change, commit_timeout,
-        [done = std::move(done)](change_result const&) { done(); });
+    this->step_down(reason);
+    this->store.commit(
+        change, commit_timeout, [done](change_result const&) { done(); });
 }
 
 } // namespace toucanlever
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -6,6 +6,7 @@
 #include "fake_workers.hpp"
 #include "loopback.hpp"
 
+#include <array>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -97,7 +98,8 @@
 class three_instance_cell
 {
 public:
-    three_instance_cell()
+    explicit three_instance_cell(std::array<double, 3> shares = {1.0, 1.0, 1.0})
+        : cpu_shares(shares)
     {
         for (int i = 0; i < count; ++i)
         {
@@ -121,6 +123,7 @@
         settings.peer_address = own_ip(index + 10) + ":7500";
         settings.log_decisions = false;
         auto own = static_cast<std::size_t>(index);
+        settings.cpu_share = this->cpu_shares.at(own);
         cell_node_dependencies parts{this->loop, *this->stores[own],
             this->workers, this->policy, *this->followers[own],
             "workers-listed", [](std::string const&, std::string const&) {
@@ -170,6 +173,7 @@
     static record_key leader_row_key() { return {"leader", "main", "holder"}; }
 
     static constexpr int count = 3;
+    std::array<double, 3> cpu_shares;
     manual_clock time;
     event_loop loop{this->time};
     fake_record_store store{this->loop};
@@ -194,6 +198,32 @@
     cr_assert(cell.nodes[isolated]->can_accept());
 }
 
+Test(cell_node, a_small_leader_hands_over_to_a_large_instance)
+{
+    three_instance_cell cell({0.12, 0.12, 0.5});
+    cr_assert(cell.find_leader() == 2U);
+    cell.nodes[2].reset();
+    cell.run_for(milliseconds(4000));
+    cr_assert(cell.find_leader() != 2U);
+    cell.nodes[2] = cell.make_node(2);
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.find_leader() == 2U);
+    cr_assert(cell.submit(0, "first") == accept_outcome::stored);
+}
+
+Test(cell_node, a_small_leader_stays_while_large_instances_lack_the_store)
+{
+    three_instance_cell cell({0.12, 0.12, 0.5});
+    cell.stores[2]->disconnected = true;
+    cell.run_for(milliseconds(4000));
+    cr_assert(cell.find_leader() != 2U);
+    std::int64_t version =
+        cell.store.find(three_instance_cell::leader_row_key())->version;
+    cell.run_for(milliseconds(6000));
+    cr_assert(cell.store.find(three_instance_cell::leader_row_key())->version ==
+              version);
+}
+
 Test(cell_node, a_later_leader_is_found_through_other_instances)
 {
     three_instance_cell cell;
