Records of workers that get no more work are closed

Cause: a successor starts no work of earlier jobs until each recorded worker has answered or its lease has certainly expired, some 9 s when one has left or is silent.

Change: the active scheduler closes the record of a worker that is leaving, or has been silent for 1.5 s: it lists the tasks that may still run there, and nothing more is started on the worker until an open record is written. A successor waits for a closed worker with the listed jobs only. A closing checks the record's version, so that it replaces no later record; it is relied on only by the next term, so that a scheduler that knows no closed records may come between. The recorded workers are read before any record is written.

--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -94,6 +94,8 @@
     void settle_completion(completion_receipt const& receipt);
     /// Settles a completion of the current incarnation.
     void settle_completion(std::int64_t number);
+    /// True while a completion was received that is not settled.
+    bool has_unsettled_completions() const { return !this->unsettled.empty(); }
     std::int64_t last_completion_number() const
     {
         return this->last_number_seen;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -101,8 +101,10 @@
     bool reconciled = false;
     /// Calls to it currently fail.
     bool silent = false;
-    /// The store records that this worker may have tasks; nothing is started
-    /// on it before that.
+    /// Since when they do; valid while `silent`.
+    time_point silent_since{};
+    /// The store has an open record of this worker; nothing is started on it
+    /// otherwise.
     bool recorded = false;
     /// The planning pass in which it is held back for a step.
     std::uint64_t held_back_in_pass = 0;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -55,6 +55,7 @@
     if (!worker.silent)
     {
         worker.silent = true;
+        worker.silent_since = this->state.dependencies.loop.now();
         log_line("worker-silent")
             .with("worker", lease.target().id)
             .with("problem", problem)
@@ -67,7 +68,11 @@
 {
     std::string id = lease.target().id;
     pool_worker& worker = *this->state.pool.find(id);
-    worker.silent = true;
+    if (!worker.silent)
+    {
+        worker.silent = true;
+        worker.silent_since = this->state.dependencies.loop.now();
+    }
     worker.reconciled = false;
     log_line("worker-lost")
         .with("worker", id)
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -6,6 +6,8 @@
 #include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
@@ -21,6 +23,16 @@
 /// change. The follower's calls take up to 1 s and are 250 ms apart, so the
 /// list is 2.25 s old at most while they succeed.
 constexpr milliseconds max_list_age{3000};
+/// A worker that is silent for this long has its record closed. Shorter
+/// silences are frequent, and each closing costs two writes.
+constexpr milliseconds close_after_silence{1500};
+/// The store accepts 100 entries in one transaction.
+constexpr std::size_t entries_per_change = 90;
+
+std::size_t count_entries(record_change const& change)
+{
+    return change.checks.size() + change.writes.size() + change.removals.size();
+}
 
 } // namespace
 
@@ -77,15 +89,27 @@
 {
     for (record const& row : *this->recorded_rows)
     {
-        auto entry = unpack<worker_entry>(row.value, "record-store");
-        this->unreconciled.insert(entry.id);
+        auto entry = unpack<worker_record>(row.value, "record-store");
+        bool closed = entry.is_closed_for(this->state.proof.fencing_token);
         this->record_versions[entry.id] = row.version;
+        if (closed)
+        {
+            this->unheard_jobs[entry.id] = entry.jobs();
+            this->closed_tasks[entry.id] = {
+                entry.tasks.begin(), entry.tasks.end()};
+            // Written again under this term's token, for the next successor.
+            this->to_close.insert(entry.id);
+        }
+        else
+        {
+            this->unreconciled.insert(entry.id);
+        }
         if (!this->leases.contains(entry.id))
         {
             this->update_worker(entry);
             this->unlist_worker(entry.id);
         }
-        this->state.pool.find(entry.id)->recorded = true;
+        this->state.pool.find(entry.id)->recorded = !closed;
         this->to_record.erase(entry.id);
     }
     this->recorded_rows->clear();
@@ -94,6 +118,7 @@
     {
         this->start_lease(this->state.pool.find(id)->entry);
     }
+    this->record_workers();
 }
 
 worker_lease* worker_roster::find_lease(std::string const& worker) const
@@ -104,12 +129,18 @@
 
 void worker_roster::note_reconciled(std::string const& worker)
 {
-    if (this->unreconciled.erase(worker) > 0)
+    if (this->unreconciled.erase(worker) + this->unheard_jobs.erase(worker) > 0)
     {
         this->state.on_work_changed();
     }
 }
 
+bool worker_roster::may_have_runs(std::string const& job) const
+{
+    return std::any_of(this->unheard_jobs.begin(), this->unheard_jobs.end(),
+        [&job](auto const& worker) { return worker.second.contains(job); });
+}
+
 void worker_roster::on_worker_rows(
     std::vector<record> const& rows, bool complete)
 {
@@ -202,12 +233,13 @@
 
 void worker_roster::record_workers()
 {
-    // The store accepts 100 entries in one transaction.
-    constexpr std::size_t entries_per_change = 90;
     // Long enough for a store that is 100 times as slow as the usual 10 ms.
     constexpr milliseconds commit_timeout{2000};
-    if (this->recording ||
-        (this->to_record.empty() && this->to_remove_record.empty()))
+    // Before the recorded workers have been read, a write could replace a
+    // closed record.
+    if (this->recording || this->reports == nullptr ||
+        (this->to_record.empty() && this->to_close.empty() &&
+            this->to_remove_record.empty()))
     {
         return;
     }
@@ -218,19 +250,19 @@
     for (std::string const& id : this->to_record)
     {
         pool_worker const* worker = this->state.pool.find(id);
-        if (change.writes.size() < entries_per_change && worker != nullptr)
+        if (count_entries(change) < entries_per_change && worker != nullptr)
         {
-            change.writes.push_back({worker_row_key(id), pack(worker->entry)});
+            change.writes.push_back(
+                {worker_row_key(id), pack(worker_record(worker->entry))});
         }
     }
+    closing_sizes const closings = this->add_closed_records(change);
     for (std::string const& id : this->to_remove_record)
     {
         // A removal that is carried out late must not remove the record of a
         // worker that has been listed and recorded again.
         constexpr std::size_t entries_per_removal = 2;
-        if (change.writes.size() +
-                entries_per_removal * (change.removals.size() + 1) <=
-            entries_per_change)
+        if (count_entries(change) + entries_per_removal <= entries_per_change)
         {
             record_key row = worker_row_key(id);
             change.checks.push_back({row, this->record_versions[id]});
@@ -238,7 +270,7 @@
         }
     }
     this->state.dependencies.store.commit(change, commit_timeout,
-        [this, change, sent_at = this->state.dependencies.loop.now(),
+        [this, change, closings, sent_at = this->state.dependencies.loop.now(),
             alive = this->alive](change_result const& result)
         {
             if (*alive)
@@ -246,13 +278,13 @@
                 this->recording = false;
                 this->state.dependencies.heartbeat.end_transaction(
                     sent_at, result.outcome == change_outcome::committed);
-                this->on_workers_recorded(change, result);
+                this->on_workers_recorded(change, closings, result);
             }
         });
 }
 
-void worker_roster::on_workers_recorded(
-    record_change const& change, change_result const& result)
+void worker_roster::on_workers_recorded(record_change const& change,
+    closing_sizes const& closings, change_result const& result)
 {
     if (result.outcome == change_outcome::conflict)
     {
@@ -265,8 +297,23 @@
     }
     for (record_write const& write : change.writes)
     {
-        this->to_record.erase(write.at.key);
         this->record_versions[write.at.key] = result.version;
+        auto closing = closings.find(write.at.key);
+        if (closing != closings.end())
+        {
+            // Tasks that were found since then are written next.
+            if (this->closed_tasks[write.at.key].size() == closing->second)
+            {
+                this->to_close.erase(write.at.key);
+            }
+            continue;
+        }
+        this->to_record.erase(write.at.key);
+        if (this->to_close.contains(write.at.key))
+        {
+            continue;
+        }
+        this->closed_tasks.erase(write.at.key);
         pool_worker* worker = this->state.pool.find(write.at.key);
         if (worker != nullptr)
         {
@@ -314,6 +361,98 @@
         }
         this->record_versions[removal.key] = version;
     }
+    for (record_write const& write : change.writes)
+    {
+        auto current_version = versions.find(write.at.key);
+        if (current_version != versions.end())
+        {
+            this->record_versions[write.at.key] = current_version->second;
+        }
+    }
+}
+
+worker_roster::closing_sizes worker_roster::add_closed_records(
+    record_change& change)
+{
+    // A closed record that is written late must not replace an open one, under
+    // which more work may have been started.
+    constexpr std::size_t entries_per_closing = 2;
+    closing_sizes closings;
+    for (std::string const& id : this->to_close)
+    {
+        pool_worker const* worker = this->state.pool.find(id);
+        if (worker == nullptr ||
+            count_entries(change) + entries_per_closing > entries_per_change)
+        {
+            continue;
+        }
+        std::set<std::string> const& tasks = this->closed_tasks[id];
+        worker_record closed(worker->entry);
+        closed.closed_by = this->state.proof.fencing_token;
+        closed.tasks.assign(tasks.begin(), tasks.end());
+        record_key row = worker_row_key(id);
+        change.checks.push_back({row, this->record_versions[id]});
+        change.writes.push_back({row, pack(closed)});
+        closings.emplace(id, tasks.size());
+    }
+    return closings;
+}
+
+std::set<std::string> worker_roster::tasks_on(pool_worker const& worker) const
+{
+    std::set<std::string> tasks;
+    for (auto const& [task, allocation] : worker.allocations)
+    {
+        tasks.insert(to_string(task));
+    }
+    for (late_start const& start : worker.late_starts)
+    {
+        tasks.insert(to_string(start.task));
+    }
+    return tasks;
+}
+
+bool worker_roster::is_closable(pool_worker const& worker) const
+{
+    time_point now = this->state.dependencies.loop.now();
+    bool silent_for_long =
+        worker.silent && now - worker.silent_since >= close_after_silence;
+    // A run whose end is received but not recorded has no allocation any more.
+    return worker.reconciled &&
+           (worker.entry.leaving || worker.unlisted || silent_for_long) &&
+           !this->leases.at(worker.entry.id)->has_unsettled_completions();
+}
+
+void worker_roster::update_record(pool_worker& worker)
+{
+    std::string const& id = worker.entry.id;
+    if (this->is_closable(worker))
+    {
+        std::set<std::string> tasks = this->tasks_on(worker);
+        std::set<std::string>& listed = this->closed_tasks[id];
+        // A late order may have started a run on a worker that was closed.
+        bool is_complete = std::includes(
+            listed.begin(), listed.end(), tasks.begin(), tasks.end());
+        if (worker.recorded || !is_complete)
+        {
+            worker.recorded = false;
+            listed.merge(tasks);
+            this->to_record.erase(id);
+            this->to_close.insert(id);
+            log_line("worker-closed")
+                .with("worker", id)
+                .with("leaving", worker.entry.leaving ? 1 : 0)
+                .with("silent", worker.silent ? 1 : 0)
+                .with("tasks", listed.size());
+        }
+        return;
+    }
+    bool is_back = worker.reconciled && !worker.silent &&
+                   !worker.entry.leaving && !worker.unlisted;
+    if (is_back && !worker.recorded && !this->to_close.contains(id))
+    {
+        this->to_record.insert(id);
+    }
 }
 
 bool worker_roster::is_removable(pool_worker const& worker) const
@@ -321,25 +460,33 @@
     // Runs that an earlier scheduler started on an unreconciled worker may
     // still be running.
     return worker.unlisted && worker.silent && worker.allocations.empty() &&
-           !this->unreconciled.contains(worker.entry.id);
+           !this->unreconciled.contains(worker.entry.id) &&
+           !this->unheard_jobs.contains(worker.entry.id);
 }
 
 void worker_roster::sweep()
 {
-    this->record_workers();
     for (auto entry = this->leases.begin(); entry != this->leases.end();)
     {
-        if (!this->is_removable(*this->state.pool.find(entry->first)))
+        pool_worker& worker = *this->state.pool.find(entry->first);
+        if (!this->is_removable(worker))
         {
+            if (this->reports != nullptr)
+            {
+                this->update_record(worker);
+            }
             ++entry;
             continue;
         }
         log_line("worker-forgotten").with("worker", entry->first);
         this->to_record.erase(entry->first);
+        this->to_close.erase(entry->first);
+        this->closed_tasks.erase(entry->first);
         this->to_remove_record.insert(entry->first);
         this->state.pool.remove(entry->first);
         entry = this->leases.erase(entry);
     }
+    this->record_workers();
 }
 
 } // namespace toucanlever
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1467,3 +1467,207 @@
     cr_assert(fixture.starts_of(first_task) == 2U);
     cr_assert(fixture.state_of("a") == work_state::failed);
 }
+
+Test(dispatcher, gangs_start_in_time_when_calls_for_advice_are_slow)
+{
+    // One instance makes calls of 100 ms and 1.5 ms for each worker named. A
+    // gang needs one worker of 100, and one gang arrives every 150 ms.
+    constexpr int gangs = 40;
+    constexpr milliseconds arrival_period{150};
+    cell_fixture fixture(100);
+    fixture.advice.answer_later =
+        [&fixture](placement_advice::callback done, advice_result const& result)
+    {
+        milliseconds duration(100 + 3 * result.tickets.size() / 2);
+        fixture.loop.after(duration, [done, result] { done(result); });
+    };
+    fixture.begin_term();
+    for (int i = 0; i < gangs; ++i)
+    {
+        fixture.submit("gang-" + std::to_string(i), 4,
+            [](work_record& record)
+            {
+                record.steps.front().gang = true;
+                record.queue.advice.required = true;
+                record.queue.advice.decision_us = 100000;
+                record.queue.advice.per_worker_us = 1500;
+            });
+        fixture.run_for(arrival_period);
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.workers.all_starts.size() == 4U * gangs);
+}
+
+Test(dispatcher, an_overdue_long_running_step_does_not_wait_behind_a_late_queue)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    // Each task fills the worker, and its queue is always late.
+    auto late_job = [](work_record& record)
+    { record.steps.front().need.cpu_millis = worker_cpu; };
+    fixture.submit("first", 1, late_job);
+    fixture.run_for(second);
+    for (int i = 0; i < 20; ++i)
+    {
+        fixture.submit("late-" + std::to_string(i), 1, late_job);
+    }
+    fixture.submit("lasting", 1,
+        [](work_record& record)
+        {
+            record.steps.front().long_running = true;
+            record.queue.priority = 3;
+        });
+    fixture.run_for(second);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"lasting", 0, 0}, 0}) == 1U);
+}
+
+Test(dispatcher, waiting_jobs_are_not_counted_from_an_outdated_copy)
+{
+    cell_fixture fixture;
+    dispatcher& scheduler = fixture.begin_term();
+    fixture.run_for(second);
+    cr_assert(scheduler.waiting_jobs("q").has_value());
+    fixture.store.unreadable_tables.insert(tables::jobs);
+    fixture.run_for(5 * second);
+    cr_assert_not(scheduler.waiting_jobs("q").has_value());
+    fixture.store.unreadable_tables.clear();
+    fixture.run_for(2 * second);
+    cr_assert(scheduler.waiting_jobs("q").has_value());
+}
+
+namespace
+{
+
+/// Runs job "a" with one task on each of two workers, of which one is silent
+/// and the other still answers, and ends the term. Returns the silent worker.
+std::string end_term_with_a_silent_worker(cell_fixture& fixture)
+{
+    fixture.begin_term();
+    fixture.submit("a", 2,
+        [](work_record& record) { record.steps.front().max_per_worker = 1; });
+    fixture.run_for(second);
+    std::string const silent = fixture.workers.all_starts.front().first;
+    fixture.workers.workers[silent].silent = true;
+    return silent;
+}
+
+} // namespace
+
+Test(dispatcher, earlier_jobs_do_not_wait_for_a_silent_worker_that_has_no_work)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.workers.workers["w0"].silent = true;
+    // Long enough for the scheduler to close the worker's record.
+    fixture.run_for(3 * second);
+    fixture.end_term();
+    fixture.submit("a", 1);
+    fixture.begin_term();
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, earlier_jobs_wait_only_for_silent_workers_that_may_run_them)
+{
+    cell_fixture fixture(2);
+    std::string const silent = end_term_with_a_silent_worker(fixture);
+    fixture.run_for(3 * second);
+    fixture.end_term();
+    fixture.submit("b", 1);
+    fixture.begin_term();
+    fixture.run_for(3 * second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+    // The task of "a" on the silent worker may still run there.
+    cr_assert(fixture.workers.all_starts.size() == 3U);
+    fixture.run_for(8 * second);
+    cr_assert(fixture.starts_of({{"a", 0, 0}, 0}) +
+                  fixture.starts_of({{"a", 0, 0}, 1}) >=
+              2U);
+}
+
+Test(dispatcher, a_worker_that_is_back_gets_work_again_and_is_waited_for)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.silent = true;
+    fixture.run_for(3 * second);
+    worker.silent = false;
+    fixture.run_for(second);
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+    // Its record is open again, so a successor waits for it.
+    worker.silent = true;
+    fixture.end_term();
+    fixture.list_worker("w1");
+    fixture.begin_term();
+    fixture.run_for(5 * second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, a_closed_record_that_is_written_late_hides_no_later_work)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.silent = true;
+    fixture.run_for(second);
+    // The closing is carried out late, after the worker is in use again.
+    fixture.store.delay_changes = true;
+    while (fixture.store.delayed_changes.empty())
+    {
+        fixture.run_for(milliseconds(10));
+    }
+    std::vector<record_change> late;
+    late.swap(fixture.store.delayed_changes);
+    fixture.store.delay_changes = false;
+    worker.silent = false;
+    fixture.run_for(3 * second);
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+    late.swap(fixture.store.delayed_changes);
+    fixture.store.execute_delayed_changes();
+    worker.silent = true;
+    fixture.end_term();
+    fixture.list_worker("w1");
+    fixture.begin_term();
+    fixture.run_for(5 * second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, a_worker_with_an_unrecorded_completion_is_not_closed)
+{
+    cell_fixture fixture;
+    std::string const worker_id = fixture.run_one_task();
+    fake_cell_worker& worker = fixture.workers.workers[worker_id];
+    // The completion reaches the scheduler, but not the journal.
+    fixture.store.rejecting = true;
+    fixture.workers.end_run(worker_id, first_task, run_outcome::succeeded);
+    fixture.run_for(second);
+    worker.silent = true;
+    fixture.store.rejecting = false;
+    fixture.run_for(milliseconds(20));
+    fixture.end_term();
+    fixture.begin_term();
+    fixture.run_for(5 * second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
+Test(dispatcher, closed_records_of_an_older_term_are_not_relied_on)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.workers.workers["w0"].silent = true;
+    fixture.run_for(3 * second);
+    fixture.end_term();
+    // A scheduler that does not know of closed records had a term.
+    ++fixture.fencing_token;
+    fixture.submit("a", 1);
+    fixture.begin_term();
+    fixture.run_for(3 * second);
+    cr_assert(fixture.starts_of(first_task) == 0U);
+}
