Requests go to another domain only while it answers

Change: a runner of another domain is used only if a scheduler there has answered a poll that was sent after the request arrived, and within the last two polls.

--- a/include/toucanlever/gateway/scheduler_pool.hpp
+++ b/include/toucanlever/gateway/scheduler_pool.hpp
@@ -42,6 +42,11 @@
     std::vector<scheduler_state> live_schedulers(
         std::string const& domain) const;
 
+    /// True when a live scheduler of the domain has answered a poll that was
+    /// sent at `since` or later. A domain that has just been cut off still has
+    /// live schedulers, but none that answers.
+    bool has_answered_since(std::string const& domain, time_point since) const;
+
     bool is_ready() const { return this->current_snapshot.revision > 0; }
     config_snapshot const& snapshot() const { return this->current_snapshot; }
     cell_config const& config() const { return this->parsed_config; }
@@ -63,6 +68,8 @@
         std::unique_ptr<rpc_client> client;
         scheduler_state state;
         time_point last_reply_at{};
+        // When the poll was sent that was answered last.
+        time_point answered_poll_at{};
         bool request_in_flight = false;
     };
 
--- a/src/gateway/runner_router.cpp
+++ b/src/gateway/runner_router.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds avoid_after_refusal{1000};
 // Wait for a slot in the own domain before other domains are tried.
 constexpr milliseconds other_domains_after{300};
+// Polls of another domain's schedulers in a row that may go unanswered before
+// no request is sent there.
+constexpr int max_unanswered_polls = 2;
 // Permits for one runner that one permit request asks for.
 constexpr std::uint32_t permits_per_request = 2;
 // Runners for which permits are requested when one request finds no slot.
@@ -99,6 +102,11 @@
 std::vector<instance const*> runner_router::candidates(
     routed_request const& request, bool in_own_domain) const
 {
+    // A domain that has not answered since the request arrived, or lately, may
+    // be on the other side of a network partition: a request sent there is lost
+    // without an error.
+    auto max_age = this->settings.heartbeat * max_unanswered_polls;
+    auto since = std::max(request.context->arrived, this->loop.now() - max_age);
     std::vector<instance const*> list;
     for (instance const& each : this->schedulers.endpoints())
     {
@@ -107,10 +115,8 @@
                     (each.domain == this->settings.domain) == in_own_domain &&
                     request.tried.count(each.id) == 0 &&
                     !this->is_avoided(each.id);
-        // A domain without a live scheduler may be on the other side of a
-        // network partition.
-        bool reachable = in_own_domain ||
-                         !this->schedulers.live_schedulers(each.domain).empty();
+        bool reachable = in_own_domain || this->schedulers.has_answered_since(
+                                              each.domain, since);
         if (fits && reachable)
         {
             list.push_back(&each);
--- a/src/gateway/scheduler_pool.cpp
+++ b/src/gateway/scheduler_pool.cpp
@@ -59,7 +59,7 @@
     request.endpoints_digest = this->endpoints_digest;
     target.client->request(message_type::state_request, pack(request),
         this->settings.scheduler_timeout,
-        [this, address](rpc_result const& result)
+        [this, address, sent_at = this->loop.now()](rpc_result const& result)
         {
             member& polled = this->members.at(address);
             polled.request_in_flight = false;
@@ -69,6 +69,7 @@
                     result.as<state_reply>(message_type::state_reply, address);
                 polled.state = reply.state;
                 polled.last_reply_at = this->loop.now();
+                polled.answered_poll_at = sent_at;
                 this->handle_state(reply);
             }
             catch (error const&)
@@ -230,4 +231,16 @@
     return list;
 }
 
+bool scheduler_pool::has_answered_since(
+    std::string const& domain, time_point since) const
+{
+    return std::any_of(this->members.begin(), this->members.end(),
+        [this, &domain, since](auto const& entry)
+        {
+            member const& each = entry.second;
+            return this->is_live(each) && each.state.domain == domain &&
+                   each.answered_poll_at >= since;
+        });
+}
+
 } // namespace toucanlever
