--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1671,3 +1671,20 @@
     fixture.run_for(3 * second);
     cr_assert(fixture.starts_of(first_task) == 0U);
 }
+
+Test(dispatcher, a_job_whose_acceptance_lies_ahead_starts_at_once)
+{
+    // The clock of the instance that accepted it, or of this one, has jumped.
+    constexpr std::int64_t jump_ms = 5000;
+    cell_fixture fixture;
+    fixture.begin_term();
+    for (std::int64_t offset : {jump_ms, -jump_ms})
+    {
+        fixture.submit(offset > 0 ? "ahead" : "behind", 1,
+            [offset](work_record& record)
+            { record.accepted_ms = wall_time_ms() + offset; });
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"ahead", 0, 0}, 0}) == 1U);
+    cr_assert(fixture.starts_of({{"behind", 0, 0}, 0}) == 1U);
+}
