A step whose approved workers stay busy asks about others after 2 s

Cause, found by reading the change to the calls for advice: a gang that has enough approved workers makes no call while the others have too little room on average. If its approved workers are occupied for good, it would wait without end beside room for it.

Change: 2 s after its last answer a step asks again in any case. Tests: does_not_wait_for_approved_workers_without_end and a_gang_whose_approved_workers_stay_busy_asks_about_others; unit tests only.

--- a/include/toucanlever/cell/advice_query.hpp
+++ b/include/toucanlever/cell/advice_query.hpp
@@ -5,8 +5,8 @@
 /// out before the capacity does: steps wait for a call while workers are free.
 /// A call therefore names only as many workers as are likely to suffice, given
 /// the share of workers that the policy has approved so far and the tasks that
-/// fit on each worker, and no call is made for a step whose approved workers
-/// only have to become free.
+/// fit on each worker, and for some time no call is made for a step whose
+/// approved workers only have to become free.
 ///
 /// No side effects: the decision follows from its arguments.
 #pragma once
@@ -41,6 +41,9 @@
     std::uint64_t fitting_approved_empty = 0;
     /// Share of the workers asked about that the policy approves, above 0.
     double approval_share = 0.5;
+    /// The step has waited for its approved workers for so long that they may
+    /// be occupied for good, for example by long-running tasks.
+    bool has_waited_long = false;
 };
 
 /// The workers to ask about, at most `placement_advice::max_workers`; empty
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -55,6 +55,8 @@
     time_point retry_at{};
     // or another call would not have let the step start sooner.
     time_point reconsider_at{};
+    // When the last answer about the step arrived.
+    time_point answered_at{};
 };
 
 /// The worker crashes under the runs of one task, or of one gang.
--- a/src/cell/advice_query.cpp
+++ b/src/cell/advice_query.cpp
@@ -38,8 +38,9 @@
 bool is_worth_a_call(
     std::vector<advice_option> const& options, advice_demand const& demand)
 {
-    if (demand.fitting_approved_empty <
-        sufficient_approvals * demand.missing_tasks)
+    if (demand.has_waited_long ||
+        demand.fitting_approved_empty <
+            sufficient_approvals * demand.missing_tasks)
     {
         return true;
     }
--- a/src/cell/reserved_task_starter.cpp
+++ b/src/cell/reserved_task_starter.cpp
@@ -89,6 +89,7 @@
         this->state.on_work_changed();
         return;
     }
+    step->advice.answered_at = now;
     this->learn_approvals(*step, queried, result);
     step->advice.queried.insert(queried.begin(), queried.end());
     for (std::string const& worker : queried)
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -505,6 +505,8 @@
     // How long a step waits before a decision against another call is made
     // again; tasks take longer than this to end.
     constexpr milliseconds reconsider_period{100};
+    // Most tasks end within this time, and make room on approved workers.
+    constexpr milliseconds patience{2000};
     time_point now = this->state.dependencies.loop.now();
     if (now < step.advice.reconsider_at)
     {
@@ -516,6 +518,7 @@
     demand.missing_tasks =
         std::max(this->count_missing(step, request), std::uint32_t{1});
     demand.all_or_none = request.all_or_none;
+    demand.has_waited_long = now - step.advice.answered_at >= patience;
     demand.approval_share =
         this->state.approvals[job.record.queue.name].share();
     std::vector<advice_option> options;
--- a/tests/unit/advice_query.tests.cpp
+++ b/tests/unit/advice_query.tests.cpp
@@ -178,6 +178,19 @@
     cr_assert_not(full.choose(demand).empty());
 }
 
+Test(advice_query, does_not_wait_for_approved_workers_without_end)
+{
+    // Room for twice the gang, of which the policy approves too little on
+    // average, and approved workers that may never become free.
+    option_list some;
+    some.add(16, 1, 3);
+    advice_demand demand = gang_of(8, 0.35);
+    demand.fitting_approved_empty = 30;
+    cr_assert(some.choose(demand).empty());
+    demand.has_waited_long = true;
+    cr_assert(some.choose(demand).size() == 16U);
+}
+
 Test(advice_query, the_share_of_approvals_follows_the_answers)
 {
     approval_estimate estimate;
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1688,3 +1688,26 @@
     cr_assert(fixture.starts_of({{"ahead", 0, 0}, 0}) == 1U);
     cr_assert(fixture.starts_of({{"behind", 0, 0}, 0}) == 1U);
 }
+
+Test(dispatcher, a_gang_whose_approved_workers_stay_busy_asks_about_others)
+{
+    // The policy approves w0 to w3 at first, which long-running tasks occupy
+    // for good, and of the others only those that are asked about.
+    cell_fixture fixture(4);
+    fixture.begin_term();
+    fixture.submit("lasting", 16,
+        [](work_record& record) { record.steps.front().long_running = true; });
+    fixture.run_for(second);
+    auto gang = [](work_record& record)
+    {
+        record.steps.front().gang = true;
+        record.queue.advice.required = true;
+    };
+    fixture.submit("gang", 4, gang);
+    fixture.run_for(second);
+    cr_assert(fixture.advice.calls == 1);
+    // Room for the gang, but less than the policy's share makes certain.
+    fixture.list_worker("w4");
+    fixture.run_for(4 * second);
+    cr_assert(fixture.starts_of({{"gang", 0, 0}, 0}) == 1U);
+}
