--- a/include/toucanlever/cell/advice_broker.hpp
+++ b/include/toucanlever/cell/advice_broker.hpp
@@ -54,6 +54,9 @@
     /// True when a call of this duration can start now.
     bool has_free_slot(microseconds duration);
 
+    /// Number of calls that can be in flight at a time, one for each instance.
+    std::size_t slot_count() const { return this->slots.size(); }
+
     /// `duration` is the expected time of the call. Requires
     /// `has_free_slot(duration)`. `done` is called later, never from within
     /// this function.
--- a/include/toucanlever/cell/advice_query.hpp
+++ b/include/toucanlever/cell/advice_query.hpp
@@ -1,12 +1,14 @@
 /// Chooses the workers that a call to the external placement policy asks about.
 ///
 /// A call takes a fixed time and some more for each worker it names, and the
-/// policy serves one call at a time per instance. On a busy cell the calls run
-/// out before the capacity does: steps wait for a call while workers are free.
-/// A call therefore names only as many workers as are likely to suffice, given
-/// the share of workers that the policy has approved so far and the tasks that
-/// fit on each worker, and for some time no call is made for a step whose
-/// approved workers only have to become free.
+/// policy serves one call at a time per instance. While there are enough calls
+/// for all steps, a call names workers generously: a longer call costs less
+/// than a second one. On a busy cell the calls run out before the capacity
+/// does: steps wait for a call while workers are free. A call then names only
+/// as many workers as are likely to suffice, given the share of workers that
+/// the policy has approved so far and the tasks that fit on each worker, and
+/// for some time no call is made for a step whose approved workers only have to
+/// become free.
 ///
 /// No side effects: the decision follows from its arguments.
 #pragma once
@@ -41,6 +43,8 @@
     std::uint64_t fitting_approved_empty = 0;
     /// Share of the workers asked about that the policy approves, above 0.
     double approval_share = 0.5;
+    /// More steps wait than calls can be made at a time.
+    bool calls_are_scarce = false;
     /// The step has waited for its approved workers for so long that they may
     /// be occupied for good, for example by long-running tasks.
     bool has_waited_long = false;
--- a/src/cell/advice_query.cpp
+++ b/src/cell/advice_query.cpp
@@ -10,9 +10,16 @@
 namespace
 {
 
-/// A call asks for room for this many times the missing tasks, because other
-/// steps may use some of it before the answer arrives, and the number of
-/// approvals varies.
+/// While calls are not scarce, a call names this many workers for each missing
+/// task, and some more for short steps. A gang of more than a few tasks, which
+/// needs all its workers approved at once, names the maximum.
+constexpr std::size_t workers_per_task = 3;
+constexpr std::size_t spare_workers = 6;
+constexpr std::uint32_t max_small_gang = 3;
+
+/// While calls are scarce, a call asks for room for this many times the missing
+/// tasks, because other steps may use some of it before the answer arrives, and
+/// the number of approvals varies.
 constexpr double room_margin = 2.0;
 /// The same for a gang, which needs all of its room at one moment.
 constexpr double gang_room_margin = 3.0;
@@ -38,7 +45,7 @@
 bool is_worth_a_call(
     std::vector<advice_option> const& options, advice_demand const& demand)
 {
-    if (demand.has_waited_long ||
+    if (!demand.calls_are_scarce || demand.has_waited_long ||
         demand.fitting_approved_empty <
             sufficient_approvals * demand.missing_tasks)
     {
@@ -53,6 +60,13 @@
     return demand.approval_share * fitting >= needed;
 }
 
+std::size_t generous_count(advice_demand const& demand)
+{
+    return demand.all_or_none && demand.missing_tasks > max_small_gang
+               ? placement_advice::max_workers
+               : workers_per_task * demand.missing_tasks + spare_workers;
+}
+
 } // namespace
 
 std::vector<std::string> choose_workers_to_query(
@@ -84,9 +98,11 @@
     for (std::size_t i = 0; i < limit; ++i)
     {
         bool suffices =
-            room >= needed_room &&
-            static_cast<double>(chosen.size()) * demand.approval_share >=
-                min_expected_approvals;
+            demand.calls_are_scarce
+                ? room >= needed_room && static_cast<double>(chosen.size()) *
+                                                 demand.approval_share >=
+                                             min_expected_approvals
+                : chosen.size() >= generous_count(demand);
         if (suffices)
         {
             break;
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -518,6 +518,8 @@
     demand.missing_tasks =
         std::max(this->count_missing(step, request), std::uint32_t{1});
     demand.all_or_none = request.all_or_none;
+    demand.calls_are_scarce = this->state.registry.ready().size() >
+                              this->state.dependencies.advice.slot_count();
     demand.has_waited_long = now - step.advice.answered_at >= patience;
     demand.approval_share =
         this->state.approvals[job.record.queue.name].share();
--- a/tests/unit/advice_query.tests.cpp
+++ b/tests/unit/advice_query.tests.cpp
@@ -45,9 +45,15 @@
     std::vector<advice_option> options;
 };
 
+/// The demand of a gang while calls are scarce.
 advice_demand gang_of(std::uint32_t tasks, double share)
 {
-    return {tasks, true, 0, share};
+    advice_demand demand;
+    demand.missing_tasks = tasks;
+    demand.all_or_none = true;
+    demand.approval_share = share;
+    demand.calls_are_scarce = true;
+    return demand;
 }
 
 using decision = std::function<std::vector<std::string>(
@@ -128,6 +134,20 @@
     cr_assert(asked < 30U);
 }
 
+Test(advice_query, names_workers_generously_while_calls_are_not_scarce)
+{
+    option_list free;
+    free.add(300, 3, 3);
+    advice_demand demand = gang_of(8, 0.35);
+    demand.calls_are_scarce = false;
+    cr_assert(free.choose(demand).size() == placement_advice::max_workers);
+    demand.all_or_none = false;
+    cr_assert(free.choose(demand).size() == 30U);
+    // A call is made although approved workers may become free.
+    demand.fitting_approved_empty = 30;
+    cr_assert_not(free.choose(demand).empty());
+}
+
 Test(advice_query, names_more_workers_when_the_policy_approves_fewer)
 {
     option_list free;
