Logs tell a late reply from none, and a lost job from nobody to ask

Callers saw lookups without an answer; the log had one reason, not-found, for a job that no scheduler knows (410), no scheduler, a scheduler that did not reply and one with an old copy of the jobs (503). A reply that came after its time limit was dropped without a line, a call that was abandoned while its answer arrived looked like one without an answer, and a state that was given after the caller's time limit left no line at all.

Lookups and cancellations carry a lookup_problem, which is the reason in the log. rpc_client logs reply-late with type, size and delay, and counts late replies and their bytes. The HTTP client says how much of a response had arrived.

a_lookup_says_why_the_state_of_a_job_cannot_be_read covers the reasons. No decision changes.

--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -175,11 +175,43 @@
     unavailable
 };
 
-/// Result of a job lookup; `state` is valid when the job was found.
+/// Why a job lookup, or a cancellation, is `unavailable`.
+enum class lookup_problem : std::uint8_t
+{
+    none,
+    /// No active scheduler is connected, and the store may not be read yet.
+    no_leader,
+    /// The active scheduler did not reply within the time limit.
+    leader_not_answering,
+    /// The active scheduler has no recent copy of the jobs in the store.
+    leader_outdated,
+    store_not_answering
+};
+
+template <>
+struct enum_table<lookup_problem>
+{
+    using row = enum_name<lookup_problem>;
+    static constexpr std::array rows{row{lookup_problem::none, "none"},
+        row{lookup_problem::no_leader, "no-leader"},
+        row{lookup_problem::leader_not_answering, "leader-not-answering"},
+        row{lookup_problem::leader_outdated, "leader-outdated"},
+        row{lookup_problem::store_not_answering, "store-not-answering"}};
+};
+
+/// Result of a job lookup; `state` is valid when the job was found, `problem`
+/// when the lookup is unavailable.
 struct lookup_result
 {
     lookup_outcome outcome = lookup_outcome::unavailable;
     work_state state = work_state::queued;
+    lookup_problem problem = lookup_problem::none;
+
+    /// A lookup that is unavailable for this reason.
+    static lookup_result unavailable(lookup_problem why)
+    {
+        return {lookup_outcome::unavailable, work_state::queued, why};
+    }
 };
 
 /// Outcome of a task run.
--- a/include/toucanlever/wire/rpc.hpp
+++ b/include/toucanlever/wire/rpc.hpp
@@ -82,9 +82,15 @@
 private:
     struct pending_request
     {
+        message_type type = message_type::ping;
         callback done;
         event_loop::timer_id timer = 0;
     };
+    struct expired_request
+    {
+        message_type type = message_type::ping;
+        time_point expired_at{};
+    };
 
     void on_open(link& connection) override;
     void on_frame(link& connection, frame message) override;
@@ -92,7 +98,9 @@
     void dial();
     void handle_link_loss(std::string const& reason);
     void check_link();
+    void expire_request(std::uint64_t correlation);
     void complete_request(std::uint64_t correlation, rpc_result result);
+    void log_late_reply(frame const& message);
 
     event_loop& loop;
     std::string remote;
@@ -102,6 +110,9 @@
     std::uint64_t next_correlation = 1;
     // Invariant: every entry was sent on the current connection.
     std::map<std::uint64_t, pending_request> pending;
+    // The latest requests on the current connection that got no reply in time,
+    // to recognise a late one.
+    std::map<std::uint64_t, expired_request> expired;
     event_loop::timer_id heartbeat_timer = 0;
     event_loop::timer_id redial_timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -382,12 +382,14 @@
             {
                 return;
             }
-            lookup_result found;
+            auto found = lookup_result::unavailable(
+                lookup_problem::leader_not_answering);
             if (!result.problem && result.reply &&
                 result.reply->type == message_type::work_reply)
             {
                 auto reply = unpack<work_reply>(result.reply->body, "leader");
                 found.state = reply.state;
+                found.problem = lookup_problem::leader_outdated;
                 found.outcome = reply.known    ? lookup_outcome::found
                                 : reply.absent ? lookup_outcome::no_such_job
                                                : lookup_outcome::unavailable;
@@ -402,7 +404,7 @@
     time_point now = this->dependencies.loop.now();
     if (now < this->next_store_lookup_at)
     {
-        done({});
+        done(lookup_result::unavailable(lookup_problem::no_leader));
         return;
     }
     this->next_store_lookup_at = now + store_lookup_interval;
@@ -418,7 +420,8 @@
         {
             if (!*alive || !parts)
             {
-                done({});
+                done(lookup_result::unavailable(
+                    lookup_problem::store_not_answering));
                 return;
             }
             this->look_up_in_parts(job, *parts, done);
@@ -450,7 +453,9 @@
     {
         bool uncertain =
             this->failed && this->found.outcome == lookup_outcome::no_such_job;
-        return uncertain ? lookup_result{} : this->found;
+        return uncertain ? lookup_result::unavailable(
+                               lookup_problem::store_not_answering)
+                         : this->found;
     }
 };
 
@@ -516,7 +521,8 @@
                 done({lookup_outcome::found, work_state::cancelled});
                 return;
             }
-            done({});
+            done(lookup_result::unavailable(
+                lookup_problem::store_not_answering));
         });
 }
 
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -185,7 +185,7 @@
 {
     if (!this->loaded)
     {
-        return {};
+        return lookup_result::unavailable(lookup_problem::leader_outdated);
     }
     registry_job const* found = this->state.registry.find(job);
     if (found != nullptr)
@@ -197,9 +197,11 @@
     }
     auto age =
         this->state.dependencies.loop.now() - this->job_follower->fresh_at();
-    return {age < max_lookup_staleness ? lookup_outcome::no_such_job
-                                       : lookup_outcome::unavailable,
-        {}};
+    if (age < max_lookup_staleness)
+    {
+        return {lookup_outcome::no_such_job};
+    }
+    return lookup_result::unavailable(lookup_problem::leader_outdated);
 }
 
 std::optional<std::uint64_t> dispatcher::waiting_jobs(
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -142,6 +142,12 @@
         return;
     }
     result.problem = curl_easy_strerror(code);
+    if (!result.response.body.empty())
+    {
+        result.problem += " after " +
+                          std::to_string(result.response.body.size()) +
+                          " bytes of the response";
+    }
     // The connect time is zero until a connection is established. Zero proves
     // that the request was not sent, but only with `fresh_connection`: libcurl
     // may otherwise have sent it on a reused connection before it gave that
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -1,6 +1,7 @@
 #include "toucanlever/wire/rpc.hpp"
 
 #include "toucanlever/core/log.hpp"
+#include "toucanlever/core/metrics.hpp"
 
 namespace toucanlever
 {
@@ -8,6 +9,7 @@
 {
 
 constexpr int silent_heartbeats = 2;
+constexpr std::size_t max_expired_requests = 64;
 // The server waits longer than the client, so that the client detects the
 // failure first and reconnects.
 constexpr int server_silent_heartbeats = 8;
@@ -73,18 +75,52 @@
         return;
     }
     std::uint64_t correlation = this->next_correlation++;
-    auto timer = this->loop.after(timeout,
-        [this, correlation]
-        {
-            this->complete_request(correlation,
-                failed(error(error_code::timeout, "no reply within the timeout",
-                    "await-reply", this->remote, run_state::unknown)));
-        });
-    this->pending.emplace(correlation, pending_request{std::move(done), timer});
+    auto timer = this->loop.after(
+        timeout, [this, correlation] { this->expire_request(correlation); });
+    this->pending.emplace(
+        correlation, pending_request{type, std::move(done), timer});
     this->connection->send(frame{type, correlation,
         static_cast<std::uint32_t>(timeout.count()), std::move(body)});
 }
 
+void rpc_client::expire_request(std::uint64_t correlation)
+{
+    auto found = this->pending.find(correlation);
+    if (found == this->pending.end())
+    {
+        return;
+    }
+    this->expired.emplace(
+        correlation, expired_request{found->second.type, this->loop.now()});
+    if (this->expired.size() > max_expired_requests)
+    {
+        this->expired.erase(this->expired.begin());
+    }
+    this->complete_request(correlation,
+        failed(error(error_code::timeout, "no reply within the timeout",
+            "await-reply", this->remote, run_state::unknown)));
+}
+
+void rpc_client::log_late_reply(frame const& message)
+{
+    auto found = this->expired.find(message.correlation);
+    if (found == this->expired.end())
+    {
+        return;
+    }
+    auto late = std::chrono::duration_cast<milliseconds>(
+        this->loop.now() - found->second.expired_at);
+    log_line("reply-late")
+        .with("peer", this->remote)
+        .with("request", name_of(found->second.type))
+        .with("bytes", message.body.size())
+        .with("late_ms", late.count());
+    metrics().count("rpc_late_replies");
+    metrics().count(
+        "rpc_late_reply_bytes", static_cast<std::int64_t>(message.body.size()));
+    this->expired.erase(found);
+}
+
 void rpc_client::complete_request(std::uint64_t correlation, rpc_result result)
 {
     auto found = this->pending.find(correlation);
@@ -111,6 +147,7 @@
     {
         return;
     }
+    this->log_late_reply(message);
     rpc_result result;
     if (message.type == message_type::reply_error)
     {
@@ -150,6 +187,7 @@
         this->redial_timer = this->loop.after(
             this->timing.redial_delay, [this] { this->dial(); });
     }
+    this->expired.clear();
     auto lost = std::move(this->pending);
     this->pending.clear();
     auto still_alive = this->alive;
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -164,6 +164,15 @@
         return outcome;
     }
 
+    lookup_result look_up(std::size_t node, std::string const& job)
+    {
+        lookup_result found;
+        this->nodes[node]->look_up(
+            job, [&found](lookup_result const& result) { found = result; });
+        this->run_for(milliseconds(100));
+        return found;
+    }
+
     /// Writes a version of the configuration, as the operator does.
     void configure(int version)
     {
@@ -270,6 +279,27 @@
     cr_assert(cell.submit(0, "second") == accept_outcome::stored);
 }
 
+Test(cell_node, a_lookup_says_why_the_state_of_a_job_cannot_be_read)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    std::size_t asked = (leader + 1) % 3;
+    cr_assert(
+        cell.look_up(asked, "none").outcome == lookup_outcome::no_such_job);
+    for (auto const& store : cell.stores)
+    {
+        store->disconnected = true;
+    }
+    cell.run_for(milliseconds(3000));
+    cr_assert(
+        cell.look_up(asked, "none").problem == lookup_problem::leader_outdated);
+    cell.nodes[leader].reset();
+    cell.run_for(milliseconds(100));
+    cr_assert(cell.look_up(asked, "none").problem ==
+              lookup_problem::store_not_answering);
+    cr_assert(cell.look_up(asked, "none").problem == lookup_problem::no_leader);
+}
+
 Test(cell_node, an_instance_without_the_store_learns_versions_from_the_leader)
 {
     three_instance_cell cell;
