--- /dev/null
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -0,0 +1,161 @@
+/// An instance without the store that learns the configuration from a peer
+/// over a link of 10 Mbit/s.
+#include "toucanlever/cell/configuration_exchange.hpp"
+
+#include "fake_record_store.hpp"
+#include "loopback.hpp"
+#include "narrow_relay.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace toucanlever;
+
+namespace
+{
+
+constexpr std::int64_t link_bytes_per_s = 1'250'000;
+constexpr milliseconds hello_period{500};
+
+/// Documents of these tests are a version number and padding.
+std::optional<cell_configuration> decode_version(std::string const& text)
+{
+    cell_configuration result;
+    result.version = std::atoll(text.c_str());
+    return result.version > 0 ? std::optional(result) : std::nullopt;
+}
+
+/// The configuration of one instance, and its part in the exchange.
+struct configured_instance
+{
+    explicit configured_instance(event_loop& loop)
+        : store(loop)
+        , follower(loop, this->store,
+              configuration_source{"op", "config", &decode_version},
+              this->queues)
+        , exchange(loop, this->follower)
+    {
+    }
+
+    fake_record_store store;
+    queue_directory queues;
+    configuration_follower follower;
+    configuration_exchange exchange;
+};
+
+/// Replies to queries for the configuration, and to hellos with an
+/// acknowledgement.
+class exchange_handler final : public rpc_handler
+{
+public:
+    explicit exchange_handler(configuration_exchange& exchange)
+        : exchange(exchange)
+    {
+    }
+
+    void on_request(frame const& request, std::string const& peer,
+        rpc_responder respond) override
+    {
+        if (request.type == message_type::configuration_query)
+        {
+            respond(message_type::configuration_reply,
+                pack(this->exchange.reply_to(
+                    unpack<configuration_query>(request.body, peer))));
+            return;
+        }
+        respond(message_type::ack, {});
+    }
+
+private:
+    configuration_exchange& exchange;
+};
+
+/// A peer that has the document, and an instance that the store turns away and
+/// that sends hellos to the peer.
+class narrow_exchange
+{
+public:
+    narrow_exchange()
+    {
+        this->receiver.store.unavailable = true;
+        this->loop.every(hello_period, [this] { this->send_hello(); });
+        this->run_for(milliseconds(700));
+    }
+
+    void write(std::int64_t version, std::size_t bytes)
+    {
+        this->sender.store.set({"op", "", "config"},
+            std::to_string(version) + ' ' + std::string(bytes, 'x'));
+    }
+
+    void run_for(milliseconds duration)
+    {
+        constexpr milliseconds step{5};
+        for (milliseconds elapsed{0}; elapsed < duration; elapsed += step)
+        {
+            this->time.advance(step);
+            // Each pass lets the sockets deliver what the last one wrote.
+            for (int pass = 0; pass < 4; ++pass)
+            {
+                this->loop.run_ready();
+            }
+        }
+    }
+
+    void send_hello()
+    {
+        if (!this->peer.connected())
+        {
+            return;
+        }
+        ++this->hellos;
+        this->peer.request(message_type::member_hello, {}, hello_period,
+            [this](rpc_result const& result)
+            {
+                if (!result.problem)
+                {
+                    ++this->hello_replies;
+                    this->receiver.exchange.handle_peer_version(
+                        this->sender.exchange.version(), this->peer);
+                }
+            });
+    }
+
+    std::int64_t version() const { return this->receiver.queues.version(); }
+
+    manual_clock time;
+    event_loop loop{this->time};
+    configured_instance sender{this->loop};
+    configured_instance receiver{this->loop};
+    exchange_handler handler{this->sender.exchange};
+    std::string const server_address = own_ip(1) + ":7510";
+    std::string const relay_address = own_ip(2) + ":7510";
+    rpc_server server{
+        this->loop, this->server_address, this->handler, rpc_timing{}};
+    narrow_relay relay{this->loop, this->relay_address, this->server_address,
+        link_bytes_per_s};
+    rpc_client peer{this->loop, this->relay_address, rpc_timing{}};
+    int hellos = 0;
+    int hello_replies = 0;
+};
+
+} // namespace
+
+Test(configuration_exchange,
+    a_document_that_a_slow_link_carries_in_more_than_the_time_of_a_reply_arrives)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.version() == 9);
+}
+
+Test(configuration_exchange,
+    a_large_document_does_not_keep_other_messages_from_a_slow_link)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(5000));
+    cr_assert(cell.hellos - cell.hello_replies <= 1);
+    cr_assert(cell.relay.forwarded_bytes < 1'000'000);
+}
--- a/tests/unit/store_client.tests.cpp
+++ b/tests/unit/store_client.tests.cpp
@@ -4,6 +4,7 @@
 #include "base64.hpp"
 #include "json_reader.hpp"
 #include "loopback.hpp"
+#include "trickling_server.hpp"
 
 #include "toucanlever/cell/record_follower.hpp"
 #include "toucanlever/http/server.hpp"
@@ -90,6 +91,47 @@
     store_client store{this->client, this->address};
 };
 
+/// A client whose store sends its answers slowly, on a manual clock.
+class slow_answer
+{
+public:
+    explicit slow_answer(std::size_t bytes)
+    {
+        json row{{"Table", "t"}, {"part", ""}, {"Key", "a"}, {"RowVersion", 7},
+            {"Value", encode_base64(std::string(bytes, 'x'))}};
+        this->server.body =
+            json{{"rows", json::array({row})}, {"RowVersion", 7}}.dump();
+        this->store.changes("t", 0, milliseconds(0),
+            [this](read_result const& read) { this->result = read; });
+    }
+
+    /// Sends `piece` bytes each 50 ms until the call has ended. Real time
+    /// passes as well, because libcurl has a clock of its own.
+    void run_for(milliseconds duration, std::size_t piece)
+    {
+        constexpr milliseconds step{50};
+        for (milliseconds elapsed{0}; elapsed < duration && !this->result;
+             elapsed += step)
+        {
+            this->server.send_piece(piece);
+            this->time.advance(step);
+            for (int pass = 0; pass < 15; ++pass)
+            {
+                this->loop.run_ready();
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+        }
+    }
+
+    std::string const ip = own_ip(1);
+    manual_clock time;
+    event_loop loop{this->time};
+    trickling_server server{this->ip, 7992};
+    http_client client{this->loop};
+    store_client store{this->client, this->ip + ":7992"};
+    std::optional<read_result> result;
+};
+
 } // namespace
 
 Test(store_client, keys_with_odd_characters_do_not_keep_a_table_from_being_read)
@@ -126,3 +168,24 @@
     cr_assert(result->rows[0].at.key == "a");
     cr_assert(result->rows[0].removed);
 }
+
+Test(store_client, a_row_that_arrives_slowly_is_not_read_from_its_start_again)
+{
+    constexpr std::size_t bytes = 300'000;
+    slow_answer call(bytes);
+    call.run_for(milliseconds(5000), 8000);
+    cr_assert(call.result.has_value());
+    cr_assert(call.result->outcome == read_outcome::answered);
+    cr_assert(call.result->rows.at(0).value.size() == bytes);
+    cr_assert(call.server.requests == 1);
+}
+
+Test(store_client, a_store_that_stops_in_the_middle_of_a_row_is_given_up)
+{
+    slow_answer call(300'000);
+    call.run_for(milliseconds(500), 8000);
+    cr_assert_not(call.result.has_value());
+    call.run_for(milliseconds(3000), 0);
+    cr_assert(call.result.has_value());
+    cr_assert(call.result->outcome == read_outcome::failed);
+}
--- /dev/null
+++ b/tests/unit/trickling_server.hpp
@@ -0,0 +1,82 @@
+/// An HTTP server on loopback that sends each response piece by piece, when the
+/// test says so.
+#pragma once
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/// Serves one connection at a time.
+class trickling_server
+{
+public:
+    trickling_server(std::string const& ip, std::uint16_t port)
+        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_port = htons(port);
+        inet_pton(AF_INET, ip.c_str(), &local.sin_addr);
+        int reuse = 1;
+        ::setsockopt(
+            this->listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+        ::bind(
+            this->listener, reinterpret_cast<sockaddr*>(&local), sizeof local);
+        ::listen(this->listener, 4);
+    }
+
+    ~trickling_server()
+    {
+        ::close(this->connection);
+        ::close(this->listener);
+    }
+
+    trickling_server(trickling_server const&) = delete;
+    trickling_server& operator=(trickling_server const&) = delete;
+
+    /// Sends up to `bytes` of the response to the request at hand; none while
+    /// there is no request.
+    void send_piece(std::size_t bytes)
+    {
+        this->accept_request();
+        std::size_t size = std::min(bytes, this->unsent.size());
+        ssize_t sent =
+            ::send(this->connection, this->unsent.data(), size, MSG_NOSIGNAL);
+        if (sent > 0)
+        {
+            this->unsent.erase(0, static_cast<std::size_t>(sent));
+        }
+    }
+
+    /// The body of each response.
+    std::string body;
+    int requests = 0;
+
+private:
+    void accept_request()
+    {
+        int accepted =
+            ::accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (accepted >= 0)
+        {
+            ::close(this->connection);
+            this->connection = accepted;
+            this->unsent.clear();
+        }
+        char request[4096];
+        if (::recv(this->connection, request, sizeof request, 0) > 0)
+        {
+            ++this->requests;
+            this->unsent = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(this->body.size()) + "\r\n\r\n" +
+                           this->body;
+        }
+    }
+
+    int listener;
+    int connection = -1;
+    std::string unsent;
+};
