Configurations pass between instances in pieces

Callers saw lookups that nobody answered (LOST) and routes that were not known in time (CONFIG).

Cause: an instance that is behind asked its leader for the whole document with a time limit of 0.4 s. A document of 2,845 routes has 540 kB and takes 0.43 s on a link of 10 Mbit/s. The reply came late and was dropped, and the next hello asked for it again from the first byte, without end: the links of 27 instances carried nothing else, and replies of the leader to lookups and hellos waited behind it.

Change: a query names how much of which version has arrived, and how much it wants; a piece has at most 32 KiB, less while pieces come late. What has arrived is kept over timeouts and lost links, and any instance can continue it, since all have the same bytes of a version. Instances of earlier versions get, and send, the whole document as before.

It works because progress no longer depends on the size of the document, and other messages wait for one piece at most.

--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -2,7 +2,9 @@
 /// away learns a version from the others.
 ///
 /// Hellos and their replies name the version in force at the sender; whoever is
-/// behind asks the sender for its document.
+/// behind asks the sender for its document. The document may be larger than a
+/// link carries in the time of one reply, so it is requested piece by piece:
+/// what has arrived is kept, and other messages pass between two pieces.
 #pragma once
 
 #include "toucanlever/cell/cell_messages.hpp"
@@ -38,10 +40,23 @@
     configuration_reply reply_to(configuration_query const& query) const;
 
 private:
-    void handle_reply(rpc_result const& result, std::string const& peer);
+    /// The part of a document that has been received. All instances have the
+    /// same document of a version, so that any of them can continue it.
+    struct partial_document
+    {
+        std::int64_t version = 0;
+        std::string text;
+    };
+
+    void request_piece(rpc_client& peer);
+    void handle_result(rpc_result const& result, rpc_client& peer);
+    void handle_piece(configuration_reply const& reply, rpc_client& peer);
 
     event_loop& loop;
     configuration_follower& configuration;
+    partial_document partial;
+    // Halved when a piece gets no reply in time, doubled when it does.
+    std::int64_t piece_bytes;
     // When a request was sent that has not been answered. A link that is
     // destroyed drops its requests without an answer.
     std::optional<time_point> requested_at;
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -2,13 +2,19 @@
 
 #include "toucanlever/core/log.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
 {
 
-/// Enough for 64 KB, the longest document, on a link of 10 Mbit/s that is busy.
 constexpr milliseconds query_timeout{400};
+/// The largest piece takes 30 ms on a link of 10 Mbit/s, which is what other
+/// messages wait for it at most. The smallest one gets through where messages
+/// of the usual size do.
+constexpr std::int64_t max_piece_bytes = 32768;
+constexpr std::int64_t min_piece_bytes = 2048;
 
 } // namespace
 
@@ -16,6 +22,7 @@
     event_loop& loop, configuration_follower& configuration)
     : loop(loop)
     , configuration(configuration)
+    , piece_bytes(max_piece_bytes)
 {
 }
 
@@ -30,54 +37,114 @@
     time_point now = this->loop.now();
     bool is_waiting =
         this->requested_at && now - *this->requested_at < query_timeout;
-    if (peer_version <= this->version() || is_waiting)
+    if (peer_version > this->version() && !is_waiting)
     {
-        return;
+        this->request_piece(peer);
     }
-    this->requested_at = now;
-    peer.request(message_type::configuration_query,
-        pack(configuration_query{this->version()}), query_timeout,
-        [this, address = peer.address(), alive = this->alive](
-            rpc_result const& result)
+}
+
+void configuration_exchange::request_piece(rpc_client& peer)
+{
+    this->requested_at = this->loop.now();
+    configuration_query query{this->version(), this->partial.version,
+        static_cast<std::int64_t>(this->partial.text.size()),
+        this->piece_bytes};
+    // `peer` exists while it calls the callback.
+    peer.request(message_type::configuration_query, pack(query), query_timeout,
+        [this, &peer, alive = this->alive](rpc_result const& result)
         {
             if (*alive)
             {
                 this->requested_at.reset();
-                this->handle_reply(result, address);
+                this->handle_result(result, peer);
             }
         });
 }
 
-void configuration_exchange::handle_reply(
-    rpc_result const& result, std::string const& peer)
+void configuration_exchange::handle_result(
+    rpc_result const& result, rpc_client& peer)
 {
+    if (result.problem && result.problem->code == error_code::timeout)
+    {
+        this->piece_bytes = std::max(this->piece_bytes / 2, min_piece_bytes);
+    }
     try
     {
-        auto reply = result.as<configuration_reply>(
-            message_type::configuration_reply, peer);
-        // Empty when this instance has learned the version in the meantime.
-        if (!reply.document.empty())
-        {
-            this->configuration.adopt(reply.document, peer);
-        }
+        this->handle_piece(
+            result.as<configuration_reply>(
+                message_type::configuration_reply, peer.address()),
+            peer);
     }
     catch (error const& problem)
     {
+        // The next hello asks for the same piece again.
         log_line("config-not-told")
-            .with("peer", peer)
+            .with("peer", peer.address())
             .with("in_force", this->version())
+            .with("received_version", this->partial.version)
+            .with("received_bytes", this->partial.text.size())
             .with("problem", problem.what());
     }
 }
 
+void configuration_exchange::handle_piece(
+    configuration_reply const& reply, rpc_client& peer)
+{
+    // The version may have come from the store in the meantime; the piece is
+    // empty when that was before the query.
+    bool is_whole = reply.document_bytes == 0;
+    bool is_known = !is_whole && reply.version <= this->version();
+    if (reply.piece.empty() || is_known)
+    {
+        this->partial = {};
+        return;
+    }
+    if (is_whole || reply.version != this->partial.version)
+    {
+        this->partial = {reply.version, {}};
+    }
+    if (reply.offset != static_cast<std::int64_t>(this->partial.text.size()))
+    {
+        this->partial = {};
+        throw error(error_code::bad_request,
+            "the piece does not continue the document", "read-reply",
+            peer.address());
+    }
+    this->piece_bytes = std::min(this->piece_bytes * 2, max_piece_bytes);
+    this->partial.text += reply.piece;
+    if (!is_whole && static_cast<std::int64_t>(this->partial.text.size()) <
+                         reply.document_bytes)
+    {
+        this->request_piece(peer);
+        return;
+    }
+    partial_document received = std::move(this->partial);
+    this->partial = {};
+    this->configuration.adopt(received.text, peer.address());
+}
+
 configuration_reply configuration_exchange::reply_to(
     configuration_query const& query) const
 {
     configuration_reply reply;
-    if (query.version < this->version())
+    if (query.version >= this->version())
+    {
+        return reply;
+    }
+    std::string const& document = this->configuration.document();
+    auto size = static_cast<std::int64_t>(document.size());
+    if (query.max_bytes <= 0)
     {
-        reply.document = this->configuration.document();
+        reply.piece = document;
+        return reply;
     }
+    reply.version = this->version();
+    reply.document_bytes = size;
+    bool continues = query.partial_version == reply.version &&
+                     query.offset >= 0 && query.offset < size;
+    reply.offset = continues ? query.offset : 0;
+    reply.piece = document.substr(static_cast<std::size_t>(reply.offset),
+        static_cast<std::size_t>(query.max_bytes));
     return reply;
 }
 
--- a/tests/unit/configuration_exchange.tests.cpp
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -75,7 +75,9 @@
 class narrow_exchange
 {
 public:
-    narrow_exchange()
+    explicit narrow_exchange(std::int64_t bytes_per_s = link_bytes_per_s)
+        : relay(this->loop, this->relay_address, this->server_address,
+              bytes_per_s)
     {
         this->receiver.store.unavailable = true;
         this->loop.every(hello_period, [this] { this->send_hello(); });
@@ -132,8 +134,7 @@
     std::string const relay_address = own_ip(2) + ":7510";
     rpc_server server{
         this->loop, this->server_address, this->handler, rpc_timing{}};
-    narrow_relay relay{this->loop, this->relay_address, this->server_address,
-        link_bytes_per_s};
+    narrow_relay relay;
     rpc_client peer{this->loop, this->relay_address, rpc_timing{}};
     int hellos = 0;
     int hello_replies = 0;
@@ -159,3 +160,61 @@
     cr_assert(cell.hellos - cell.hello_replies <= 1);
     cr_assert(cell.relay.forwarded_bytes < 1'000'000);
 }
+
+Test(configuration_exchange, a_lost_link_does_not_lose_what_has_been_received)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(900));
+    cell.relay.disconnect();
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.version() == 9);
+    cr_assert(cell.relay.forwarded_bytes < 1'000'000);
+}
+
+Test(configuration_exchange, a_document_that_is_replaced_midway_is_not_mixed_up)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(600));
+    cr_assert(cell.relay.forwarded_bytes > 100'000);
+    cell.write(12, 400'000);
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.version() == 12);
+    cr_assert(
+        cell.receiver.follower.document() == cell.sender.follower.document());
+}
+
+Test(configuration_exchange, a_version_from_the_store_ends_the_transfer)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(600));
+    cell.receiver.store.unavailable = false;
+    cell.receiver.store.set({"op", "", "config"}, "9 from the store");
+    cell.run_for(milliseconds(1000));
+    cr_assert(cell.version() == 9);
+    std::int64_t received = cell.relay.forwarded_bytes;
+    cell.run_for(milliseconds(2000));
+    cr_assert(cell.relay.forwarded_bytes - received < 10'000);
+}
+
+Test(configuration_exchange, an_instance_of_an_earlier_version_gets_the_whole)
+{
+    narrow_exchange cell;
+    cell.write(9, 100'000);
+    cell.run_for(milliseconds(100));
+    // Earlier versions send no more than the version in force.
+    configuration_reply reply =
+        cell.sender.exchange.reply_to(configuration_query{4, 0, 0, 0});
+    cr_assert(reply.piece == cell.sender.follower.document());
+    cr_assert(reply.document_bytes == 0);
+}
+
+Test(configuration_exchange, pieces_shrink_until_a_link_carries_them_in_time)
+{
+    narrow_exchange cell(20'000);
+    cell.write(9, 50'000);
+    cell.run_for(milliseconds(15000));
+    cr_assert(cell.version() == 9);
+}
