An answer of the store that has begun is received to its end

What callers saw is the same: with the exchange in pieces, the links of the small instances were still full for seconds.

Cause: a call for changes was abandoned 0.6 s after its wait, one for rows after 1.5 s, also while the answer was arriving, and was repeated from the first byte. The row of 4,245 routes has 1,065 kB on the wire, 0.87 s of a link of 10 Mbit/s, so that the copy of the store never moved on until its history was lost.

Change: http_call has a stall_timeout. With it, `timeout` ends when the response begins; after that only a silence of this length ends the call. It runs on the event loop's clock.

It works because a slow link delays an answer and no longer repeats it. A successor that reads all parts of a table over a slow link gains the same.

--- a/include/toucanlever/http/client.hpp
+++ b/include/toucanlever/http/client.hpp
@@ -20,7 +20,13 @@
     http_fields headers;
     std::string body;
     milliseconds connect_timeout{1000};
+    /// How long the whole exchange may take or, with a `stall_timeout`, how
+    /// long the response may take to begin.
     milliseconds timeout{5000};
+    /// For responses whose size has no bound: one that has begun is received
+    /// however long it takes, unless nothing arrives for this long. Zero when
+    /// `timeout` limits the whole exchange.
+    milliseconds stall_timeout{0};
 
     /// Requires a new connection. libcurl silently resends a request when a
     /// reused connection turns out to be closed, so a request that is not
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <curl/curl.h>
+#include <optional>
 #include <set>
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -30,6 +31,11 @@
     http_result result;
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
+    // When a part of the response last arrived.
+    std::optional<time_point> received_at;
+    event_loop* loop = nullptr;
+    // Runs only with a `stall_timeout`.
+    event_loop::timer_id stall_timer = 0;
 
     ~transfer()
     {
@@ -44,6 +50,7 @@
 size_t on_body(char* data, size_t size, size_t count, void* into)
 {
     auto* current = static_cast<transfer*>(into);
+    current->received_at = current->loop->now();
     std::string& body = current->result.response.body;
     if (body.size() + size * count > current->call.max_response_bytes)
     {
@@ -57,6 +64,7 @@
 size_t on_header(char* data, size_t size, size_t count, void* into)
 {
     auto* current = static_cast<transfer*>(into);
+    current->received_at = current->loop->now();
     std::string line(data, size * count);
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
     {
@@ -83,8 +91,9 @@
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
         static_cast<long>(call.connect_timeout.count()));
-    curl_easy_setopt(
-        handle, CURLOPT_TIMEOUT_MS, static_cast<long>(call.timeout.count()));
+    bool limits_whole = call.stall_timeout == milliseconds(0);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+        limits_whole ? static_cast<long>(call.timeout.count()) : 0L);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &on_body);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
@@ -269,6 +278,7 @@
             ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
         for (auto& entry : this->active)
         {
+            this->loop.cancel(entry.second->stall_timer);
             curl_multi_remove_handle(this->multi, entry.first);
         }
         this->active.clear();
@@ -285,8 +295,13 @@
         added->call = std::move(call);
         added->done = std::move(done);
         added->handle = this->acquire_handle();
+        added->loop = &this->loop;
         prepare(*added);
         CURL* handle = added->handle;
+        if (added->call.stall_timeout > milliseconds(0))
+        {
+            this->watch_progress(*added, added->call.timeout);
+        }
         this->active.emplace(handle, std::move(added));
         curl_multi_add_handle(this->multi, handle);
     }
@@ -369,6 +384,36 @@
         this->complete_transfers();
     }
 
+    /// Gives the transfer up after `delay` unless a part of its response has
+    /// arrived by then.
+    void watch_progress(transfer& current, microseconds delay)
+    {
+        current.stall_timer = this->loop.after(delay,
+            [this, &current]
+            {
+                auto silence = this->loop.now() -
+                               current.received_at.value_or(time_point{});
+                if (silence < current.call.stall_timeout)
+                {
+                    this->watch_progress(
+                        current, current.call.stall_timeout - silence);
+                    return;
+                }
+                this->give_up(current);
+            });
+    }
+
+    void give_up(transfer& current)
+    {
+        auto found = this->active.find(current.handle);
+        std::unique_ptr<transfer> ended = std::move(found->second);
+        this->active.erase(found);
+        curl_multi_remove_handle(this->multi, ended->handle);
+        set_result(*ended, CURLE_OPERATION_TIMEDOUT);
+        this->release_handle(std::exchange(ended->handle, nullptr));
+        ended->done(std::move(ended->result));
+    }
+
     CURL* acquire_handle()
     {
         if (this->idle_handles.empty())
@@ -400,6 +445,7 @@
             auto found = this->active.find(message->easy_handle);
             std::unique_ptr<transfer> finished = std::move(found->second);
             this->active.erase(found);
+            this->loop.cancel(finished->stall_timer);
             curl_multi_remove_handle(this->multi, finished->handle);
             set_result(*finished, code);
             this->release_handle(std::exchange(finished->handle, nullptr));
