A peer is asked for a configuration only if the store does not deliver it

Beside each copy from the store, every small instance received another one from its leader: 650 kB for version 8, where an instance with a faster link received 375. The two share the link, so that both take twice as long, and the leader sent up to 12 MB in the second of a change.

Change: while the store answers, a version that a peer has named is requested only if the store has not delivered it after 0.4 s. An instance that the store turns away asks at once, as before.

Result: a_peer_is_asked_only_if_the_store_does_not_deliver.

--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -4,7 +4,9 @@
 /// Hellos and their replies name the version in force at the sender; whoever is
 /// behind asks the sender for its document. The document may be larger than a
 /// link carries in the time of one reply, so it is requested piece by piece:
-/// what has arrived is kept, and other messages pass between two pieces.
+/// what has arrived is kept, and other messages pass between two pieces. While
+/// the store answers, it is given the time to deliver the version itself, so
+/// that two copies do not share the link.
 #pragma once
 
 #include "toucanlever/cell/cell_messages.hpp"
@@ -33,7 +35,8 @@
     }
 
     /// `peer` has this version in force; its document is requested if the
-    /// version is higher than the one in force here.
+    /// version is higher than the one in force here, and the store is not
+    /// expected to deliver it.
     void handle_peer_version(std::int64_t peer_version, rpc_client& peer);
 
     /// The reply to another instance's query.
@@ -48,6 +51,9 @@
         std::string text;
     };
 
+    /// Notes that the version exists; true when the store does not answer, or
+    /// has not delivered the version in the time that it is given.
+    bool should_request(std::int64_t peer_version);
     void request_piece(rpc_client& peer);
     void handle_result(rpc_result const& result, rpc_client& peer);
     void handle_piece(configuration_reply const& reply, rpc_client& peer);
@@ -55,6 +61,9 @@
     event_loop& loop;
     configuration_follower& configuration;
     partial_document partial;
+    // The highest version that a peer has named, and when it first did.
+    std::int64_t newest_version = 0;
+    time_point newest_known_at{};
     // Halved when a piece gets no reply in time, doubled when it does.
     std::int64_t piece_bytes;
     // When a request was sent that has not been answered. A link that is
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr milliseconds query_timeout{400};
+/// How long a store that answers is given to deliver a version.
+constexpr milliseconds store_head_start{400};
 /// The largest piece takes 30 ms on a link of 10 Mbit/s, which is what other
 /// messages wait for it at most. The smallest one gets through where messages
 /// of the usual size do.
@@ -37,12 +39,25 @@
     time_point now = this->loop.now();
     bool is_waiting =
         this->requested_at && now - *this->requested_at < query_timeout;
-    if (peer_version > this->version() && !is_waiting)
+    if (peer_version > this->version() && this->should_request(peer_version) &&
+        !is_waiting)
     {
         this->request_piece(peer);
     }
 }
 
+bool configuration_exchange::should_request(std::int64_t peer_version)
+{
+    time_point now = this->loop.now();
+    if (peer_version > this->newest_version)
+    {
+        this->newest_version = peer_version;
+        this->newest_known_at = now;
+    }
+    return !this->configuration.is_confirmed() ||
+           now - this->newest_known_at >= store_head_start;
+}
+
 void configuration_exchange::request_piece(rpc_client& peer)
 {
     this->requested_at = this->loop.now();
--- a/tests/unit/configuration_exchange.tests.cpp
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -218,3 +218,19 @@
     cell.run_for(milliseconds(15000));
     cr_assert(cell.version() == 9);
 }
+
+Test(configuration_exchange, a_peer_is_asked_only_if_the_store_does_not_deliver)
+{
+    narrow_exchange cell;
+    cell.receiver.store.unavailable = false;
+    cell.run_for(milliseconds(1500));
+    std::int64_t before = cell.relay.forwarded_bytes;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(350));
+    cell.receiver.store.set({"op", "", "config"}, "9 from the store");
+    cell.run_for(milliseconds(2000));
+    cr_assert(cell.relay.forwarded_bytes - before < 10'000);
+    cell.write(12, 800'000);
+    cell.run_for(milliseconds(2000));
+    cr_assert(cell.version() == 12);
+}
