--- a/tests/unit/configuration_exchange.tests.cpp
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -234,3 +234,19 @@
     cell.run_for(milliseconds(2000));
     cr_assert(cell.version() == 12);
 }
+
+Test(configuration_exchange,
+    a_request_that_outlives_its_time_limit_does_not_lose_what_has_been_received)
+{
+    narrow_exchange cell;
+    cell.write(9, 800'000);
+    cell.run_for(milliseconds(900));
+    // The process is paused after its timers have run and before it reads
+    // another hello of the peer.
+    cell.send_hello();
+    cell.time.advance(milliseconds(420));
+    cell.receiver.exchange.handle_peer_version(9, cell.peer);
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.version() == 9);
+    cr_assert(cell.relay.forwarded_bytes < 1'000'000);
+}
--- a/tests/unit/store_client.tests.cpp
+++ b/tests/unit/store_client.tests.cpp
@@ -189,3 +189,15 @@
     cr_assert(call.result.has_value());
     cr_assert(call.result->outcome == read_outcome::failed);
 }
+
+Test(store_client, an_answer_that_arrived_while_the_process_was_paused_is_read)
+{
+    slow_answer call(300'000);
+    call.run_for(milliseconds(500), 8000);
+    call.server.send_piece(8000);
+    call.time.advance(milliseconds(5000));
+    call.run_for(milliseconds(5000), 8000);
+    cr_assert(call.result.has_value());
+    cr_assert(call.result->outcome == read_outcome::answered);
+    cr_assert(call.server.requests == 1);
+}
