--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -13,6 +13,7 @@
 #include "toucanlever/cell/configuration_follower.hpp"
 #include "toucanlever/wire/rpc.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,9 @@
     // When a request was sent that has not been answered. A link that is
     // destroyed drops its requests without an answer.
     std::optional<time_point> requested_at;
+    // Number of the latest request. The result of an earlier one is ignored:
+    // two of them at a time would ask for the same piece.
+    std::uint64_t last_request = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -64,11 +64,12 @@
     configuration_query query{this->version(), this->partial.version,
         static_cast<std::int64_t>(this->partial.text.size()),
         this->piece_bytes};
+    std::uint64_t number = ++this->last_request;
     // `peer` exists while it calls the callback.
     peer.request(message_type::configuration_query, pack(query), query_timeout,
-        [this, &peer, alive = this->alive](rpc_result const& result)
+        [this, &peer, number, alive = this->alive](rpc_result const& result)
         {
-            if (*alive)
+            if (*alive && number == this->last_request)
             {
                 this->requested_at.reset();
                 this->handle_result(result, peer);
