--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -308,17 +308,22 @@
 
     /// Called by the reactor when some socket is ready.
     int handle_input(ACE_HANDLE) override
+    {
+        this->read_sockets();
+        this->complete_transfers();
+        return 0;
+    }
+
+private:
+    void read_sockets()
     {
         int running = 0;
         this->sockets.dispatch_ready(
             [this, &running](curl_socket_t socket, int flags) {
                 curl_multi_socket_action(this->multi, socket, flags, &running);
             });
-        this->complete_transfers();
-        return 0;
     }
 
-private:
     static int on_socket(
         CURL*, curl_socket_t socket, int what, void* self, void*)
     {
@@ -391,27 +396,37 @@
         current.stall_timer = this->loop.after(delay,
             [this, &current]
             {
+                // After a pause of the process, timers run before the sockets
+                // are read.
+                this->read_sockets();
                 auto silence = this->loop.now() -
                                current.received_at.value_or(time_point{});
+                std::vector<std::unique_ptr<transfer>> ended;
                 if (silence < current.call.stall_timeout)
                 {
                     this->watch_progress(
                         current, current.call.stall_timeout - silence);
-                    return;
                 }
-                this->give_up(current);
+                else
+                {
+                    ended.push_back(
+                        this->end(current.handle, CURLE_OPERATION_TIMEDOUT));
+                }
+                this->complete_transfers(std::move(ended));
             });
     }
 
-    void give_up(transfer& current)
+    /// Removes a transfer; its callback is still to be called.
+    std::unique_ptr<transfer> end(CURL* handle, CURLcode code)
     {
-        auto found = this->active.find(current.handle);
+        auto found = this->active.find(handle);
         std::unique_ptr<transfer> ended = std::move(found->second);
         this->active.erase(found);
-        curl_multi_remove_handle(this->multi, ended->handle);
-        set_result(*ended, CURLE_OPERATION_TIMEDOUT);
+        this->loop.cancel(ended->stall_timer);
+        curl_multi_remove_handle(this->multi, handle);
+        set_result(*ended, code);
         this->release_handle(std::exchange(ended->handle, nullptr));
-        ended->done(std::move(ended->result));
+        return ended;
     }
 
     CURL* acquire_handle()
@@ -431,25 +446,18 @@
         this->idle_handles.push_back(handle);
     }
 
-    void complete_transfers()
+    /// Calls the callbacks of `ended` and of the transfers that libcurl has
+    /// completed.
+    void complete_transfers(std::vector<std::unique_ptr<transfer>> ended = {})
     {
-        std::vector<std::unique_ptr<transfer>> ended;
         int left = 0;
         while (CURLMsg* message = curl_multi_info_read(this->multi, &left))
         {
-            if (message->msg != CURLMSG_DONE)
+            if (message->msg == CURLMSG_DONE)
             {
-                continue;
+                ended.push_back(
+                    this->end(message->easy_handle, message->data.result));
             }
-            CURLcode code = message->data.result;
-            auto found = this->active.find(message->easy_handle);
-            std::unique_ptr<transfer> finished = std::move(found->second);
-            this->active.erase(found);
-            this->loop.cancel(finished->stall_timer);
-            curl_multi_remove_handle(this->multi, finished->handle);
-            set_result(*finished, code);
-            this->release_handle(std::exchange(finished->handle, nullptr));
-            ended.push_back(std::move(finished));
         }
         std::shared_ptr<bool> still_alive = this->alive;
         for (auto const& finished : ended)
