--- a/tests/unit/configuration_exchange.tests.cpp
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -8,6 +8,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <vector>
 
 using namespace toucanlever;
 
@@ -25,6 +26,21 @@
     return result.version > 0 ? std::optional(result) : std::nullopt;
 }
 
+/// The messages of instances of earlier versions.
+struct earlier_query
+{
+    std::int64_t version = 0;
+
+    MSGPACK_DEFINE(version)
+};
+
+struct earlier_reply
+{
+    std::string document;
+
+    MSGPACK_DEFINE(document)
+};
+
 /// The configuration of one instance, and its part in the exchange.
 struct configured_instance
 {
@@ -56,6 +72,16 @@
     void on_request(frame const& request, std::string const& peer,
         rpc_responder respond) override
     {
+        if (request.type == message_type::configuration_query &&
+            this->is_earlier_version)
+        {
+            auto query = unpack<earlier_query>(request.body, peer);
+            configuration_reply whole =
+                this->exchange.reply_to({query.version, 0, 0, 0});
+            respond(message_type::configuration_reply,
+                pack(earlier_reply{whole.piece}));
+            return;
+        }
         if (request.type == message_type::configuration_query)
         {
             respond(message_type::configuration_reply,
@@ -66,6 +92,9 @@
         respond(message_type::ack, {});
     }
 
+    /// Reads and replies to queries as earlier versions do.
+    bool is_earlier_version = false;
+
 private:
     configuration_exchange& exchange;
 };
@@ -178,9 +207,13 @@
     cell.write(9, 800'000);
     cell.run_for(milliseconds(600));
     cr_assert(cell.relay.forwarded_bytes > 100'000);
+    std::vector<std::int64_t> adopted;
+    cell.receiver.follower.on_adopted(
+        [&cell, &adopted] { adopted.push_back(cell.version()); });
     cell.write(12, 400'000);
     cell.run_for(milliseconds(3000));
-    cr_assert(cell.version() == 12);
+    // A mixed document would be adopted under the version of its first piece.
+    cr_assert(adopted == std::vector<std::int64_t>{12});
     cr_assert(
         cell.receiver.follower.document() == cell.sender.follower.document());
 }
@@ -211,6 +244,28 @@
     cr_assert(reply.document_bytes == 0);
 }
 
+Test(configuration_exchange, messages_of_earlier_versions_are_understood)
+{
+    narrow_exchange cell;
+    cell.write(9, 100'000);
+    cell.run_for(milliseconds(100));
+    auto query =
+        unpack<configuration_query>(pack(earlier_query{4}), "earlier version");
+    auto reply = unpack<earlier_reply>(
+        pack(cell.sender.exchange.reply_to(query)), "this version");
+    cr_assert(reply.document == cell.sender.follower.document());
+}
+
+Test(configuration_exchange, a_peer_of_an_earlier_version_sends_its_document)
+{
+    narrow_exchange cell;
+    cell.handler.is_earlier_version = true;
+    cell.write(9, 100'000);
+    cell.run_for(milliseconds(1500));
+    cr_assert(cell.version() == 9);
+    cr_assert(cell.relay.forwarded_bytes < 150'000);
+}
+
 Test(configuration_exchange, pieces_shrink_until_a_link_carries_them_in_time)
 {
     narrow_exchange cell(20'000);
