--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -141,6 +141,21 @@
     cr_assert(acceptor.is_store_unavailable());
 }
 
+Test(job_acceptor, a_job_larger_than_a_batch_is_sent_once)
+{
+    store_fixture fixture;
+    fixture.store.transaction_time = milliseconds(10);
+    job_acceptor acceptor(fixture.loop, fixture.store, "node");
+    work_record large = make_job("a");
+    large.payload.assign(600'000, 'x');
+    auto outcome = accept_outcome::unknown;
+    acceptor.accept(large, milliseconds(1000),
+        [&outcome](accept_result const& result) { outcome = result.outcome; });
+    fixture.pass(milliseconds(1000));
+    cr_assert(outcome == accept_outcome::stored);
+    cr_assert(fixture.store.attempts == 1);
+}
+
 Test(job_acceptor, a_lost_answer_is_never_reported_as_not_stored)
 {
     store_fixture fixture;
