--- a/src/cell/job_acceptor.cpp
+++ b/src/cell/job_acceptor.cpp
@@ -65,8 +65,10 @@
     std::vector<submission> remaining;
     for (submission& next : this->queued)
     {
-        bool fits = this->in_flight.size() < max_batch &&
-                    bytes + next.value.size() <= max_batch_bytes;
+        // A job that is larger than a batch is sent alone.
+        bool fits = this->in_flight.empty() ||
+                    (this->in_flight.size() < max_batch &&
+                        bytes + next.value.size() <= max_batch_bytes);
         // A second submission of a job of this batch waits for the next batch.
         if (!fits || !included.insert(next.job).second)
         {
