--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -5,8 +5,8 @@
 /// behind asks the sender for its document. The document may be larger than a
 /// link carries in the time of one reply, so it is requested piece by piece:
 /// what has arrived is kept, and other messages pass between two pieces. While
-/// the store answers, it is given the time to deliver the version itself, so
-/// that two copies do not share the link.
+/// the store answers, it is given some time to deliver the version itself, so
+/// that two copies share only links that are too slow for one in that time.
 #pragma once
 
 #include "toucanlever/cell/cell_messages.hpp"
--- a/tests/unit/store_client.tests.cpp
+++ b/tests/unit/store_client.tests.cpp
@@ -11,6 +11,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <set>
 #include <thread>
 
 using namespace toucanlever;
