Scans of the platform's tables are not cut off while rows arrive

Cause: scans had one time limit for the whole response, whose size has no bound, and began again at the first byte after it.

Evidence: http_platform/a_row_that_arrives_slowly_is_not_given_up_midway failed (no rows: the scan had been given up at its limit of 300 ms).

Change: scans set `stall_timeout`; a page that has begun is received unless nothing arrives for the platform's time limit.

The instance list and commits are unchanged.

Why it works: the limit is on silence, so progress is never thrown away.

--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -158,6 +158,9 @@
     call.url = this->base + "rows?prefix=" + escape_query(prefix) +
                "&after=" + escape_query(after) +
                "&limit=" + std::to_string(rows_per_page);
+    // A page has no bound in bytes, and a call that is repeated starts at its
+    // first byte again.
+    call.stall_timeout = this->timeout;
     this->send(std::move(call),
         [this, prefix, found, done](http_result const& result) mutable
         {
--- a/tests/unit/http_platform.tests.cpp
+++ b/tests/unit/http_platform.tests.cpp
@@ -4,6 +4,7 @@
 #include "toucanlever/platform/http_workers.hpp"
 
 #include "loopback.hpp"
+#include "trickling_server.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
@@ -93,6 +94,52 @@
     http_platform platform;
 };
 
+/// A scan whose service sends its answer slowly, on a manual clock.
+class slow_scan
+{
+public:
+    explicit slow_scan(std::size_t bytes)
+    {
+        nlohmann::json row{
+            {"key", "a"}, {"value", std::string(bytes, 'x')}, {"version", 7}};
+        this->server.body =
+            nlohmann::json{{"rows", nlohmann::json::array({row})}}.dump();
+        this->platform.scan("a",
+            [this](std::optional<std::vector<table_row>> const& found)
+            {
+                this->rows = found;
+                this->ended = true;
+            });
+    }
+
+    /// Sends `piece` bytes each 50 ms until the call has ended. Real time
+    /// passes as well, because libcurl has a clock of its own.
+    void run_for(milliseconds duration, std::size_t piece)
+    {
+        constexpr milliseconds step{50};
+        for (milliseconds elapsed{0}; elapsed < duration && !this->ended;
+             elapsed += step)
+        {
+            this->server.send_piece(piece);
+            this->time.advance(step);
+            for (int pass = 0; pass < 15; ++pass)
+            {
+                this->loop.run_ready();
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+        }
+    }
+
+    std::string const ip = own_ip(1);
+    manual_clock time;
+    event_loop loop{this->time};
+    trickling_server server{this->ip, 7989};
+    http_client client{this->loop};
+    http_platform platform{this->client, this->ip + ":7989", milliseconds(300)};
+    std::optional<std::vector<table_row>> rows;
+    bool ended = false;
+};
+
 } // namespace
 
 Test(http_platform, returns_the_same_list_while_its_tag_is_unchanged)
@@ -224,3 +271,23 @@
     cr_assert(list->at(0).role == instance_role::other);
     cr_assert(list->at(1).role == instance_role::worker);
 }
+
+Test(http_platform, a_row_that_arrives_slowly_is_not_given_up_midway)
+{
+    constexpr std::size_t bytes = 300'000;
+    slow_scan call(bytes);
+    call.run_for(milliseconds(5000), 8000);
+    cr_assert(call.rows.has_value());
+    cr_assert(call.rows->at(0).value.size() == bytes);
+    cr_assert(call.server.requests == 1);
+}
+
+Test(http_platform, a_scan_that_stops_in_the_middle_of_a_row_is_given_up)
+{
+    slow_scan call(300'000);
+    call.run_for(milliseconds(500), 8000);
+    cr_assert_not(call.ended);
+    call.run_for(milliseconds(3000), 0);
+    cr_assert(call.ended);
+    cr_assert_not(call.rows.has_value());
+}
