Schedulers and gateways fetch configurations beside heartbeats

Callers would see: a gateway without a live scheduler, and schedulers that keep an old configuration, after the document has outgrown their links.

Evidence: with 800 kB over 1 Mbit/s in virtual time, all three tests of configuration_of_schedulers failed: after 5 s the gateway had 0 live schedulers instead of 1, and after 20 s neither the gateway nor the scheduler had the document.

The logic of configuration_exchange moves to `document_fetch`, which both use.

Measured: configuration_of_schedulers and configuration_exchange pass; all unit tests 343 of 343.

--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -11,12 +11,10 @@
 
 #include "toucanlever/cell/cell_messages.hpp"
 #include "toucanlever/cell/configuration_follower.hpp"
+#include "toucanlever/wire/document_fetch.hpp"
 #include "toucanlever/wire/rpc.hpp"
 
 #include <cstdint>
-#include <memory>
-#include <optional>
-#include <string>
 
 namespace toucanlever
 {
@@ -27,7 +25,6 @@
 public:
     configuration_exchange(
         event_loop& loop, configuration_follower& configuration);
-    ~configuration_exchange();
 
     /// The version in force at this instance.
     std::int64_t version() const
@@ -44,36 +41,16 @@
     configuration_reply reply_to(configuration_query const& query) const;
 
 private:
-    /// The part of a document that has been received. All instances have the
-    /// same document of a version, so that any of them can continue it.
-    struct partial_document
-    {
-        std::int64_t version = 0;
-        std::string text;
-    };
-
     /// Notes that the version exists; true when the store does not answer, or
     /// has not delivered the version in the time that it is given.
     bool should_request(std::int64_t peer_version);
-    void request_piece(rpc_client& peer);
-    void handle_result(rpc_result const& result, rpc_client& peer);
-    void handle_piece(configuration_reply const& reply, rpc_client& peer);
 
     event_loop& loop;
     configuration_follower& configuration;
-    partial_document partial;
     // The highest version that a peer has named, and when it first did.
     std::int64_t newest_version = 0;
     time_point newest_known_at{};
-    // Halved when a piece gets no reply in time, doubled when it does.
-    std::int64_t piece_bytes;
-    // When a request was sent that has not been answered. A link that is
-    // destroyed drops its requests without an answer.
-    std::optional<time_point> requested_at;
-    // Number of the latest request. The result of an earlier one is ignored:
-    // two of them at a time would ask for the same piece.
-    std::uint64_t last_request = 0;
-    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    document_fetch fetch;
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/control/configuration_controller.hpp
+++ b/include/toucanlever/control/configuration_controller.hpp
@@ -32,6 +32,9 @@
 
     bool is_loaded() const { return this->current.revision > 0; }
     config_snapshot const& snapshot() const { return this->current; }
+
+    /// The same as it is sent to other processes.
+    std::string const& packed_snapshot() const { return this->packed; }
     cell_config const& config() const { return this->parsed; }
     preset_config const& preset() const;
 
@@ -59,6 +62,7 @@
     event_loop& loop;
     table_service& table;
     config_snapshot current;
+    std::string packed;
     cell_config parsed;
     // Used if the configuration does not contain the preset in force.
     preset_config fallback_preset;
--- a/include/toucanlever/control/membership_controller.hpp
+++ b/include/toucanlever/control/membership_controller.hpp
@@ -26,10 +26,10 @@
 {
 public:
     /// `self` returns the state of this scheduler for each heartbeat;
-    /// `on_reply` receives the reply of each peer.
+    /// `on_reply` receives the reply of each peer and the link to it.
     membership_controller(event_loop& loop, scheduler_settings const& settings,
         instance_service& list, std::function<state_request()> self,
-        std::function<void(state_reply const&)> on_reply);
+        std::function<void(state_reply const&, rpc_client&)> on_reply);
     ~membership_controller();
 
     /// Records a heartbeat that a peer sent.
@@ -101,7 +101,7 @@
     scheduler_settings const& settings;
     instance_service& instance_source;
     std::function<state_request()> make_state_request;
-    std::function<void(state_reply const&)> on_reply;
+    std::function<void(state_reply const&, rpc_client&)> on_reply;
     pause_aware_clock listening;
     std::vector<std::function<void()>> instance_handlers;
     std::map<std::string, peer> peers;
--- a/include/toucanlever/control/scheduler.hpp
+++ b/include/toucanlever/control/scheduler.hpp
@@ -13,6 +13,7 @@
 #include "toucanlever/control/placement_controller.hpp"
 #include "toucanlever/control/recovery_controller.hpp"
 #include "toucanlever/control/scheduler_settings.hpp"
+#include "toucanlever/wire/document_fetch.hpp"
 #include "toucanlever/wire/rpc.hpp"
 
 #include <functional>
@@ -63,6 +64,7 @@
     void tick();
     void finish_shutdown(std::function<void()> done, int polls);
 
+    void handle_heartbeat_reply(state_reply const& reply, rpc_client& peer);
     void on_state(state_request const& request, rpc_responder const& respond);
     void on_submit(frame const& request, std::string const& peer,
         rpc_responder const& respond);
@@ -87,6 +89,7 @@
     bool shutting_down = false;
 
     configuration_controller configuration;
+    document_fetch configuration_fetch;
     membership_controller members;
     worker_registry workers;
     worker_health health;
--- a/include/toucanlever/gateway/scheduler_pool.hpp
+++ b/include/toucanlever/gateway/scheduler_pool.hpp
@@ -5,6 +5,7 @@
 
 #include "toucanlever/control/cell_config.hpp"
 #include "toucanlever/gateway/gateway_settings.hpp"
+#include "toucanlever/wire/document_fetch.hpp"
 #include "toucanlever/wire/messages.hpp"
 #include "toucanlever/wire/rpc.hpp"
 
@@ -76,7 +77,7 @@
     void add(std::string const& address);
     void poll();
     void request_state(std::string const& address, member& target);
-    void handle_state(state_reply const& reply);
+    void handle_state(state_reply const& reply, rpc_client& peer);
     void adopt_config(config_snapshot const& snapshot);
     bool is_live(member const& each) const;
 
@@ -85,6 +86,7 @@
     std::map<std::string, member> members;
     config_snapshot current_snapshot;
     cell_config parsed_config;
+    document_fetch configuration_fetch;
     std::vector<instance> known_endpoints;
     std::uint64_t endpoints_digest = 0;
     std::function<void()> change_handler;
--- a/include/toucanlever/wire/messages.hpp
+++ b/include/toucanlever/wire/messages.hpp
@@ -86,15 +86,20 @@
     scheduler_state sender;
     std::int64_t config_revision = 0;
     std::uint64_t endpoints_digest = 0;
+    /// The requester fetches configurations with `configuration_query`, so
+    /// that the reply carries none. False from earlier versions.
+    bool fetches_configuration = false;
 
-    MSGPACK_DEFINE(sender, config_revision, endpoints_digest)
+    MSGPACK_DEFINE(
+        sender, config_revision, endpoints_digest, fetches_configuration)
 };
 
 /// The state, with the configuration and endpoints that the requester lacks.
 struct state_reply
 {
     scheduler_state state;
-    /// Set when the requester's revision is lower.
+    /// Set when the requester's revision is lower and it does not fetch
+    /// configurations itself.
     config_snapshot config;
     std::uint64_t endpoints_digest = 0;
     /// Instances with the role runner or entry; set when the requester's digest
--- a/src/control/configuration_controller.cpp
+++ b/src/control/configuration_controller.cpp
@@ -3,6 +3,7 @@
 #include "toucanlever/core/backoff.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/settings_file.hpp"
+#include "toucanlever/wire/codec.hpp"
 
 #include <cstdio>
 
@@ -161,6 +162,7 @@
         return;
     }
     this->current = snapshot;
+    this->packed = pack(snapshot);
     log_line("configuration-in-force")
         .with("revision", snapshot.revision)
         .with("preset", snapshot.preset)
--- a/src/control/membership_controller.cpp
+++ b/src/control/membership_controller.cpp
@@ -31,7 +31,7 @@
 membership_controller::membership_controller(event_loop& loop,
     scheduler_settings const& settings, instance_service& list,
     std::function<state_request()> self,
-    std::function<void(state_reply const&)> on_reply)
+    std::function<void(state_reply const&, rpc_client&)> on_reply)
     : loop(loop)
     , settings(settings)
     , instance_source(list)
@@ -136,7 +136,7 @@
                 auto reply =
                     result.as<state_reply>(message_type::state_reply, address);
                 this->record_heartbeat_at(reply.state, address);
-                this->on_reply(reply);
+                this->on_reply(reply, *found->second.client);
             }
             catch (error const&)
             {
--- a/src/control/scheduler.cpp
+++ b/src/control/scheduler.cpp
@@ -45,11 +45,18 @@
     , incarnation(make_incarnation(settings.domain, settings.name))
     , began_at(loop.now())
     , configuration(loop, platform.table)
+    , configuration_fetch(
+          loop, [this] { return this->configuration.snapshot().revision; },
+          [this](std::string const& packed, std::string const& origin)
+          {
+              this->configuration.adopt_if_newer(
+                  unpack<config_snapshot>(packed, origin));
+          })
     , members(
           loop, settings, platform.instances,
           [this] { return this->make_state_request(); },
-          [this](state_reply const& reply)
-          { this->configuration.adopt_if_newer(reply.config); })
+          [this](state_reply const& reply, rpc_client& peer)
+          { this->handle_heartbeat_reply(reply, peer); })
     , workers(loop, platform.workers, settings.leases, this->incarnation)
     , placement(loop, this->health, this->configuration, settings.log_decisions)
     , permits(loop.time_source(), this->incarnation,
@@ -249,9 +256,21 @@
     request.sender = this->state();
     request.config_revision = this->configuration.snapshot().revision;
     request.endpoints_digest = this->members.endpoints_digest();
+    request.fetches_configuration = true;
     return request;
 }
 
+void scheduler::handle_heartbeat_reply(
+    state_reply const& reply, rpc_client& peer)
+{
+    // Set by schedulers of earlier versions.
+    this->configuration.adopt_if_newer(reply.config);
+    if (reply.state.config_revision > this->configuration.snapshot().revision)
+    {
+        this->configuration_fetch.request_from(peer);
+    }
+}
+
 void scheduler::refresh_capacities()
 {
     std::vector<resources> capacities;
@@ -279,6 +298,12 @@
     case message_type::state_request:
         this->on_state(unpack<state_request>(request.body, peer), respond);
         return;
+    case message_type::configuration_query:
+        respond(message_type::configuration_reply,
+            pack(cut_piece(unpack<configuration_query>(request.body, peer),
+                this->configuration.snapshot().revision,
+                this->configuration.packed_snapshot())));
+        return;
     case message_type::submit:
         this->on_submit(request, peer, respond);
         return;
@@ -323,7 +348,8 @@
     this->members.record_heartbeat(request.sender);
     state_reply reply;
     reply.state = this->state();
-    if (request.config_revision < this->configuration.snapshot().revision)
+    if (!request.fetches_configuration &&
+        request.config_revision < this->configuration.snapshot().revision)
     {
         reply.config = this->configuration.snapshot();
     }
--- a/src/gateway/scheduler_pool.cpp
+++ b/src/gateway/scheduler_pool.cpp
@@ -14,6 +14,10 @@
     event_loop& loop, gateway_settings const& settings)
     : loop(loop)
     , settings(settings)
+    , configuration_fetch(
+          loop, [this] { return this->current_snapshot.revision; },
+          [this](std::string const& packed, std::string const& origin)
+          { this->adopt_config(unpack<config_snapshot>(packed, origin)); })
 {
     for (std::string const& address : settings.schedulers)
     {
@@ -57,6 +61,7 @@
     state_request request;
     request.config_revision = this->current_snapshot.revision;
     request.endpoints_digest = this->endpoints_digest;
+    request.fetches_configuration = true;
     target.client->request(message_type::state_request, pack(request),
         this->settings.scheduler_timeout,
         [this, address, sent_at = this->loop.now()](rpc_result const& result)
@@ -70,7 +75,7 @@
                 polled.state = reply.state;
                 polled.last_reply_at = this->loop.now();
                 polled.answered_poll_at = sent_at;
-                this->handle_state(reply);
+                this->handle_state(reply, *polled.client);
             }
             catch (error const&)
             {
@@ -80,9 +85,14 @@
         });
 }
 
-void scheduler_pool::handle_state(state_reply const& reply)
+void scheduler_pool::handle_state(state_reply const& reply, rpc_client& peer)
 {
+    // Set by schedulers of earlier versions.
     this->adopt_config(reply.config);
+    if (reply.state.config_revision > this->current_snapshot.revision)
+    {
+        this->configuration_fetch.request_from(peer);
+    }
     // Lists from other domains are used only while no list is known.
     bool is_new = !reply.endpoints.empty() &&
                   reply.endpoints_digest != this->endpoints_digest &&
