--- a/tests/unit/store_client.tests.cpp
+++ b/tests/unit/store_client.tests.cpp
@@ -106,22 +106,10 @@
             [this](read_result const& read) { this->result = read; });
     }
 
-    /// Sends `piece` bytes each 50 ms until the call has ended. Real time
-    /// passes as well, because libcurl has a clock of its own.
     void run_for(milliseconds duration, std::size_t piece)
     {
-        constexpr milliseconds step{50};
-        for (milliseconds elapsed{0}; elapsed < duration && !this->result;
-             elapsed += step)
-        {
-            this->server.send_piece(piece);
-            this->time.advance(step);
-            for (int pass = 0; pass < 15; ++pass)
-            {
-                this->loop.run_ready();
-                std::this_thread::sleep_for(milliseconds(1));
-            }
-        }
+        trickle(this->server, this->time, this->loop, duration, piece,
+            [this] { return this->result.has_value(); });
     }
 
     std::string const ip = own_ip(1);
--- a/tests/unit/trickling_server.hpp
+++ b/tests/unit/trickling_server.hpp
@@ -2,11 +2,14 @@
 /// test says so.
 #pragma once
 
+#include "toucanlever/core/event_loop.hpp"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 /// Serves one connection at a time.
@@ -80,3 +83,25 @@
     int connection = -1;
     std::string unsent;
 };
+
+/// Sends `piece` bytes each 50 ms of `time`, until `has_ended` returns true or
+/// `duration` has passed. Real time passes as well, because libcurl has a clock
+/// of its own.
+template <typename Condition>
+void trickle(trickling_server& server, toucanlever::manual_clock& time,
+    toucanlever::event_loop& loop, toucanlever::milliseconds duration,
+    std::size_t piece, Condition has_ended)
+{
+    constexpr toucanlever::milliseconds step{50};
+    for (toucanlever::milliseconds elapsed{0};
+         elapsed < duration && !has_ended(); elapsed += step)
+    {
+        server.send_piece(piece);
+        time.advance(step);
+        for (int pass = 0; pass < 15; ++pass)
+        {
+            loop.run_ready();
+            std::this_thread::sleep_for(toucanlever::milliseconds(1));
+        }
+    }
+}
