--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -178,21 +178,28 @@
     return job.rejected() && ran ? verdict::broken : verdict::held;
 }
 
-/// The answers to the writes that store a job are lost, and the writes are
-/// carried out late; the requester cancels the job after a 504.
-verdict late_write(small_cell& cell, bool trouble)
+/// The channel of the transaction that stores a job is reset; the job is
+/// accepted, and cancelled at once.
+verdict prompt_cancel(small_cell& cell, bool trouble)
 {
     constexpr int cancel_ms = 3000;
-    constexpr int late_ms = 5900;
+    for (int i = 0; i < 10; ++i)
+    {
+        submission usual{next_job_id(), {}};
+        cell.submit(usual, i % 3, one_step(1, 50));
+    }
+    int const leader = cell.leader();
+    int const other = (leader + 1) % 3;
     submission job{next_job_id(), {}};
+    std::atomic<bool> reset = false;
     if (trouble)
     {
         cell.rows.on_transaction(
-            [id = job.id](int, request const&, json const& transaction)
+            [&reset, id = job.id](int, request const&, json const& transaction)
             {
-                return stores_job(transaction, id)
-                           ? treatment{late_ms, delivery::silence}
-                           : treatment{};
+                bool first =
+                    stores_job(transaction, id) && !reset.exchange(true);
+                return treatment{0, first ? delivery::reset : delivery::answer};
             });
     }
     json first{{"Count", 1}, {"Cpu", 1000}, {"EstimatedMs", 4000}};
@@ -200,19 +207,19 @@
     second["After"] = {0};
     std::string body =
         json{{"Specification", "ms=4000"}, {"Steps", {first, second}}}.dump();
-    int const before = cell.rows.transactions();
-    cell.submit(job, 0, body);
-    cell.rows.on_transaction(nullptr);
-    cell.record.note(std::to_string(cell.rows.unanswered()) + " of " +
-                     std::to_string(cell.rows.transactions() - before) +
-                     " writes in that time got no answer");
-    answer cancelled = cell.cancel(job.id, 0);
+    // Other jobs come before it, as they do on the site all the time.
+    submission usual{next_job_id(), {}};
+    cell.submit(usual, other, one_step(1, 50));
+    small_cell::pause(20);
+    cell.submit(job, other, body);
+    answer cancelled = cell.cancel(job.id, other);
     std::int64_t cancelled_at = now_ms();
+    cell.rows.on_transaction(nullptr);
     bool acknowledged = cancelled.status == 410 ||
                         (cancelled.status >= 200 && cancelled.status < 300);
-    small_cell::pause(20000);
-    cell.look_up(job.id, 0);
-    if (!cell.all_running() || !acknowledged)
+    small_cell::pause(15000);
+    cell.look_up(job.id, other);
+    if (!cell.all_running() || !job.accepted() || !acknowledged)
     {
         return verdict::not_run;
     }
@@ -224,50 +231,57 @@
     return broken ? verdict::broken : verdict::held;
 }
 
-/// Two runners crash, one after the other, each with a run of the same task.
-verdict runner_crashes(small_cell& cell, bool trouble)
+/// A runner leaves the starts of a task unanswered. It is cut off, starts again
+/// behind the cut, and then carries them out.
+verdict late_start(small_cell& cell, bool trouble)
 {
+    constexpr int cut_ms = 4500;
     submission job{next_job_id(), {}};
-    cell.submit(job, 0, one_step(1, 3000));
-    for (std::size_t crash = 0; trouble && crash < 2; ++crash)
+    worker& late = *cell.workers.front();
+    if (trouble)
     {
-        bool runs = small_cell::wait(20000,
-            [&cell, &job, crash]
+        late.on_start(
+            [id = job.id](std::string const& task, std::int64_t)
             {
-                auto all = cell.ledger.runs_of(job.id);
-                return all.size() > crash && all.back().how == "runs";
+                return task.starts_with(id)
+                           ? worker::start_treatment::carry_out_late
+                           : worker::start_treatment::usual;
             });
-        if (!runs)
-        {
-            break;
-        }
-        small_cell::pause(300);
-        std::string holder = cell.ledger.runs_of(job.id).back().worker;
-        for (auto& each : cell.workers)
-        {
-            if (each->id() == holder)
-            {
-                each->crash();
-                small_cell::pause(1000);
-                each->restart();
-            }
-        }
     }
-    std::string state;
-    small_cell::wait(30000,
-        [&cell, &job, &state]
-        {
-            answer found = cell.look_up(job.id, 1);
-            json body = json::parse(found.body, nullptr, false);
-            state = body.is_object() ? body.value("State", "") : "";
-            small_cell::pause(500);
-            return state == "failed" || state == "completed";
-        });
-    if (!cell.all_running() || !job.accepted())
+    // Other jobs are so large that the task is placed on another runner when it
+    // is placed again: the one with the least room is taken first.
+    submission first{next_job_id(), {}};
+    submission second{next_job_id(), {}};
+    cell.submit(first, 0, one_step(1, 60000, {{"Cpu", 10000}}));
+    small_cell::pause(300);
+    std::int64_t begin = now_ms();
+    cell.submit(job, 0, one_step(1, 8000));
+    small_cell::pause(100);
+    cell.submit(second, 0, one_step(1, 60000, {{"Cpu", 25000}}));
+    bool placed = small_cell::wait(
+        5000, [&cell, &job] { return !cell.ledger.runs_of(job.id).empty(); });
+    if (placed && trouble)
+    {
+        late.on_start(nullptr);
+        late.cut_off(true);
+        std::int64_t healed = now_ms() + cut_ms;
+        late.crash();
+        late.restart();
+        // Orders are carried out 2 to 12 s late.
+        small_cell::wait(10000, [begin] { return now_ms() >= begin + 2500; });
+        late.carry_out_late_orders();
+        small_cell::wait(10000, [healed] { return now_ms() >= healed; });
+        late.cut_off(false);
+    }
+    small_cell::pause(12000);
+    if (!cell.all_running() || !job.accepted() || !placed)
     {
         return verdict::not_run;
     }
-    return state == "failed" ? verdict::broken : verdict::held;
+    auto runs = cell.ledger.runs_of(job.id);
+    bool broken =
+        ran_twice_at_once(runs, 50) || !starts_after_done(runs).empty();
+    return broken ? verdict::broken : verdict::held;
 }
 
 verdict play(std::string const& name, recorder& record,
@@ -296,13 +310,13 @@
     {
         return store_down(cell, trouble);
     }
-    if (name == "late-write")
+    if (name == "prompt-cancel")
     {
-        return late_write(cell, trouble);
+        return prompt_cancel(cell, trouble);
     }
-    if (name == "runner-crashes")
+    if (name == "late-start")
     {
-        return runner_crashes(cell, trouble);
+        return late_start(cell, trouble);
     }
     return verdict::not_run;
 }
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -105,6 +105,27 @@
     return this->up;
 }
 
+void worker::cut_off(bool on)
+{
+    std::lock_guard lock(this->mutex);
+    this->is_cut_off = on;
+    this->record.note(
+        "runner " + this->name + (on ? " is cut off" : " is in reach again"));
+}
+
+void worker::carry_out_late_orders()
+{
+    std::lock_guard lock(this->mutex);
+    for (json const& order : this->late_orders)
+    {
+        response const result = this->carry_out(order);
+        this->record.note("runner " + this->name + " carried out a late " +
+                          order.dump() + ": " + std::to_string(result.status) +
+                          " " + result.body);
+    }
+    this->late_orders.clear();
+}
+
 void worker::crash()
 {
     std::unique_ptr<server> closing;
@@ -162,18 +183,6 @@
         std::lock_guard lock(this->mutex);
         if (this->up)
         {
-            std::erase_if(this->late_orders,
-                [this](late_order const& each)
-                {
-                    bool due = now_ms() >= each.due;
-                    if (due)
-                    {
-                        this->record.note("runner " + this->name +
-                                          " carries out a late order");
-                        this->carry_out(each.order);
-                    }
-                    return due;
-                });
             this->tick();
             if (now_ms() >= this->next_beat)
             {
@@ -258,6 +267,10 @@
     {
         std::lock_guard lock(this->mutex);
         boot = this->up ? this->born : -1;
+        if (this->is_cut_off)
+        {
+            return {200, "{}", delivery::silence};
+        }
     }
     json order = json::parse(call.body);
     response result{404, "{}"};
@@ -274,7 +287,11 @@
         result = this->hold(order);
     }
     std::lock_guard lock(this->mutex);
-    if (!this->up || this->born != boot)
+    if (this->is_cut_off)
+    {
+        result.how = delivery::silence;
+    }
+    else if (!this->up || this->born != boot)
     {
         // A process that has ended answers nothing.
         result.how = delivery::reset;
@@ -300,14 +317,10 @@
     {
         this->record.note("runner " + this->name + " leaves " + task + " run " +
                           std::to_string(run) + " unanswered");
-        this->late_orders.push_back({now_ms() + late_start_ms, order});
+        this->late_orders.push_back(order);
         return {200, "{}", delivery::silence};
     }
     response result = this->carry_out(order);
-    if (chosen == start_treatment::carry_out_silently)
-    {
-        result.how = delivery::silence;
-    }
     if (chosen == start_treatment::carry_out_and_reset)
     {
         this->record.note("runner " + this->name + " resets the channel of " +
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -64,13 +64,10 @@
         carry_out_and_reset,
         /// It is answered with 503, and nothing is done.
         refuse,
-        /// It is carried out, and gets no answer.
-        carry_out_silently,
-        /// It gets no answer, and is carried out `late_start_ms` later, by the
-        /// boot that is up then.
+        /// It gets no answer, and is carried out by the boot that is up when
+        /// `carry_out_late_orders` is called.
         carry_out_late
     };
-    static constexpr int late_start_ms = 2500;
     using start_hook = std::function<start_treatment(
         std::string const& task, std::int64_t run)>;
 
@@ -86,6 +83,10 @@
     /// Starts it again under its id.
     void restart();
     bool is_up();
+    /// While cut off, calls to it get no answer and are not carried out.
+    void cut_off(bool on);
+    /// Carries out at once the orders that it has left unanswered.
+    void carry_out_late_orders();
 
 private:
     struct active_run
@@ -127,6 +128,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     bool up = false;
+    bool is_cut_off = false;
     std::int64_t booted_at = 0;
     std::int64_t born = 0;
     std::int64_t sequence = 0;
@@ -138,12 +140,7 @@
     std::vector<finished_run> finished;
     std::int64_t last_number = 0;
     start_hook start_decision;
-    struct late_order
-    {
-        std::int64_t due = 0;
-        json order;
-    };
-    std::vector<late_order> late_orders;
+    std::vector<json> late_orders;
     std::atomic<bool> ending = false;
     std::unique_ptr<server> http;
     std::thread clockwork;
