--- a/include/toucanlever/http/client.hpp
+++ b/include/toucanlever/http/client.hpp
@@ -12,13 +12,11 @@
 namespace toucanlever
 {
 
-/// A request to send.
+/// What all requests have in common.
 struct http_call
 {
-    std::string method = "GET";
     std::string url;
     http_fields headers;
-    std::string body;
     milliseconds connect_timeout{1000};
     /// How long the whole exchange may take or, with a `stall_timeout`, how
     /// long the response may take to begin.
@@ -27,27 +25,54 @@
     /// however long it takes, unless nothing arrives for this long. Zero when
     /// `timeout` limits the whole exchange.
     milliseconds stall_timeout{0};
-
-    /// Requires a new connection. libcurl silently resends a request when a
-    /// reused connection turns out to be closed, so a request that is not
-    /// idempotent must use a new one.
-    bool fresh_connection = false;
     std::size_t max_response_bytes = 64U * 1024U * 1024U;
 };
 
-/// Whether a request reached its peer.
-enum class http_delivery
+/// A GET that changes nothing at its peer. It is resent on a new connection
+/// when a reused one breaks before the response, because a peer may close an
+/// idle connection at any time.
+struct http_query : http_call
+{
+};
+
+/// A request that may change something at its peer. It is sent at most once:
+/// the response to a repetition would tell nothing about the first request,
+/// which may have been carried out.
+struct http_command : http_call
+{
+    std::string method = "POST";
+    std::string body;
+};
+
+/// The outcome of a query, which may have arrived more than once.
+struct query_result
 {
     /// A complete response was received.
+    bool answered = false;
+    http_response response;
+    /// Why there is no response; empty when `answered`.
+    std::string problem;
+
+    bool succeeded() const
+    {
+        return this->answered && this->response.status >= 200 &&
+               this->response.status < 300;
+    }
+};
+
+/// Whether a command reached its peer.
+enum class http_delivery
+{
+    /// A complete response was received, to the only request that was sent.
     answered,
-    /// No connection was made: the request certainly did not arrive.
+    /// Nothing was sent: the request certainly did not arrive.
     not_sent,
     /// The request may have arrived, but no complete response was received.
     in_doubt
 };
 
-/// The outcome of a request.
-struct http_result
+/// The outcome of a command.
+struct command_result
 {
     http_delivery delivery = http_delivery::not_sent;
     http_response response;
@@ -65,14 +90,16 @@
 class http_client
 {
 public:
-    using callback = std::function<void(http_result)>;
+    using query_callback = std::function<void(query_result)>;
+    using command_callback = std::function<void(command_result)>;
 
     explicit http_client(event_loop& loop);
     ~http_client();
 
     /// `done` is called exactly once on the loop's thread, unless the client
     /// is destroyed first.
-    void send(http_call call, callback done);
+    void send(http_query call, query_callback done);
+    void send(http_command call, command_callback done);
 
 private:
     class impl;
--- a/include/toucanlever/platform/http_platform.hpp
+++ b/include/toucanlever/platform/http_platform.hpp
@@ -28,9 +28,11 @@
     void list(list_callback done) override;
 
 private:
-    /// Sends a call and records its outcome in the dependency watch.
-    void send(http_call call, http_client::callback done);
-    instance_list handle_list(http_result const& result);
+    /// Sends a query and records its outcome in the dependency watch.
+    void fetch(http_query call, http_client::query_callback done);
+    void update_watch(bool answered, http_response const& response,
+        std::string const& problem);
+    instance_list handle_list(query_result const& result);
     void scan_page(std::string const& prefix, std::string const& after,
         std::vector<table_row> found, rows_callback done);
 
--- a/include/toucanlever/platform/http_workers.hpp
+++ b/include/toucanlever/platform/http_workers.hpp
@@ -40,7 +40,7 @@
 
 private:
     void post(std::string const& url, nlohmann::json const& body,
-        milliseconds extra_time, http_client::callback done);
+        milliseconds extra_time, http_client::command_callback done);
 
     http_client& client;
     milliseconds timeout;
--- a/src/gateway/runner_router.cpp
+++ b/src/gateway/runner_router.cpp
@@ -206,7 +206,9 @@
 void runner_router::send(routed_ptr const& request, instance const& runner)
 {
     http_request const& original = request->context->request;
-    http_call call;
+    // Also for services that are idempotent: the router itself retries, on
+    // another runner.
+    http_command call;
     call.method = original.method;
     call.url = runner.address + request->context->service_path;
     for (http_field const& field : original.headers)
@@ -223,7 +225,6 @@
     call.body = original.body;
     call.timeout = milliseconds(request->service.timeout_ms);
     call.connect_timeout = this->settings.connect_timeout;
-    call.fresh_connection = !request->service.idempotent;
     ++request->attempts;
     this->permits.take_permit(runner.id);
     if (this->settings.log_decisions)
@@ -242,7 +243,8 @@
     }
     auto still_alive = this->alive;
     this->client.send(std::move(call),
-        [this, still_alive, request, id = runner.id](http_result const& result)
+        [this, still_alive, request, id = runner.id](
+            command_result const& result)
         {
             if (*still_alive)
             {
@@ -252,7 +254,7 @@
 }
 
 void runner_router::on_result(routed_ptr const& request,
-    std::string const& runner, http_result const& result)
+    std::string const& runner, command_result const& result)
 {
     if (result.delivery == http_delivery::in_doubt)
     {
@@ -283,7 +285,7 @@
 }
 
 void runner_router::forward_response(routed_request& request,
-    std::string const& runner, http_result const& result)
+    std::string const& runner, command_result const& result)
 {
     auto spent = this->loop.now() - request.context->arrived;
     metrics().observe("request_us", spent.count());
@@ -300,7 +302,7 @@
 }
 
 void runner_router::retry_or_fail(routed_ptr const& request,
-    std::string const& runner, http_result const& result)
+    std::string const& runner, command_result const& result)
 {
     bool not_sent = result.delivery == http_delivery::not_sent;
     log_line("request-not-answered")
--- a/src/gateway/runner_router.hpp
+++ b/src/gateway/runner_router.hpp
@@ -57,11 +57,11 @@
     void request_permits(std::vector<instance const*> const& from);
     void send(routed_ptr const& request, instance const& runner);
     void on_result(routed_ptr const& request, std::string const& runner,
-        http_result const& result);
+        command_result const& result);
     void forward_response(routed_request& request, std::string const& runner,
-        http_result const& result);
+        command_result const& result);
     void retry_or_fail(routed_ptr const& request, std::string const& runner,
-        http_result const& result);
+        command_result const& result);
     void dispatch_waiting();
     bool is_avoided(std::string const& runner) const;
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -23,12 +23,27 @@
 /// Size of libcurl's connection cache; not a limit on open connections.
 constexpr long max_cached_connections = 4096;
 
+/// Whether libcurl may repeat a request by itself, which it does when a reused
+/// connection breaks before the response.
+enum class resend_policy
+{
+    allowed,
+    never
+};
+
 /// One request in flight in libcurl.
 struct transfer
 {
     http_call call;
-    http_client::callback done;
-    http_result result;
+    std::string method;
+    std::string body;
+    resend_policy resend = resend_policy::never;
+    http_client::command_callback done;
+    command_result result;
+    // libcurl has begun to send the request at least once.
+    bool sending_begun = false;
+    // libcurl was kept from sending the request again.
+    bool resend_prevented = false;
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
     // When a part of the response last arrived.
@@ -80,6 +95,17 @@
     return size * count;
 }
 
+/// Called by libcurl each time it is about to send the request.
+int on_sending(void* into, char*, char*, int, int)
+{
+    auto* current = static_cast<transfer*>(into);
+    bool is_repetition = std::exchange(current->sending_begun, true);
+    current->resend_prevented =
+        is_repetition && current->resend == resend_policy::never;
+    return current->resend_prevented ? CURL_PREREQFUNC_ABORT
+                                     : CURL_PREREQFUNC_OK;
+}
+
 void prepare(transfer& current)
 {
     http_call const& call = current.call;
@@ -98,22 +124,19 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &current);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &on_header);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &current);
-    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    if (call.method != "GET" && call.method != "DELETE")
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &on_sending);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &current);
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, current.method.c_str());
+    if (current.method != "GET" && current.method != "DELETE")
     {
         curl_easy_setopt(handle, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.data());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, current.body.data());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-            static_cast<curl_off_t>(call.body.size()));
+            static_cast<curl_off_t>(current.body.size()));
         // Otherwise libcurl announces a large body and waits up to a second
         // for "100 Continue" before it sends that body.
         current.headers = curl_slist_append(current.headers, "Expect:");
     }
-    if (call.fresh_connection)
-    {
-        curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
-        curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
-    }
     for (http_field const& field : call.headers)
     {
         std::string line = field.name + ": " + field.value;
@@ -122,26 +145,30 @@
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, current.headers);
 }
 
-/// Counts the bytes of headers and bodies, without TCP and IP overhead.
-void count_bytes(CURL* handle)
+/// Counts the call, its connections, and the bytes of headers and bodies,
+/// without TCP and IP overhead.
+void count_call(CURL* handle)
 {
+    long connects = 0;
     long request = 0;
     long header = 0;
     curl_off_t uploaded = 0;
     curl_off_t downloaded = 0;
+    curl_easy_getinfo(handle, CURLINFO_NUM_CONNECTS, &connects);
     curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &request);
     curl_easy_getinfo(handle, CURLINFO_HEADER_SIZE, &header);
     curl_easy_getinfo(handle, CURLINFO_SIZE_UPLOAD_T, &uploaded);
     curl_easy_getinfo(handle, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
     metrics().count("http_calls");
+    metrics().count("http_connects", connects);
     metrics().count("http_bytes_sent", request + uploaded);
     metrics().count("http_bytes_received", header + downloaded);
 }
 
 void set_result(transfer& current, CURLcode code)
 {
-    count_bytes(current.handle);
-    http_result& result = current.result;
+    count_call(current.handle);
+    command_result& result = current.result;
     if (code == CURLE_OK)
     {
         long status = 0;
@@ -150,25 +177,23 @@
         result.delivery = http_delivery::answered;
         return;
     }
-    result.problem = curl_easy_strerror(code);
+    result.problem = current.resend_prevented
+                         ? "connection was lost before the response began"
+                         : curl_easy_strerror(code);
     if (!result.response.body.empty())
     {
         result.problem += " after " +
                           std::to_string(result.response.body.size()) +
                           " bytes of the response";
     }
-    // The connect time is zero until a connection is established. Zero proves
-    // that the request was not sent, but only with `fresh_connection`: libcurl
-    // may otherwise have sent it on a reused connection before it gave that
-    // one up and connected again.
-    curl_off_t connected = 0;
-    curl_easy_getinfo(current.handle, CURLINFO_CONNECT_TIME_T, &connected);
-    bool no_connection = code == CURLE_COULDNT_CONNECT ||
-                         code == CURLE_URL_MALFORMAT ||
-                         (code == CURLE_OPERATION_TIMEDOUT && connected == 0);
-    bool not_sent = current.call.fresh_connection && no_connection;
-    result.delivery =
-        not_sent ? http_delivery::not_sent : http_delivery::in_doubt;
+    result.delivery = current.sending_begun ? http_delivery::in_doubt
+                                            : http_delivery::not_sent;
+}
+
+query_result to_query_result(command_result result)
+{
+    return {result.delivery == http_delivery::answered,
+        std::move(result.response), std::move(result.problem)};
 }
 
 /// The sockets that libcurl waits for, in an epoll set, so that the cost of a
@@ -289,11 +314,8 @@
         }
     }
 
-    void send(http_call call, callback done)
+    void send(std::unique_ptr<transfer> added)
     {
-        auto added = std::make_unique<transfer>();
-        added->call = std::move(call);
-        added->done = std::move(done);
         added->handle = this->acquire_handle();
         added->loop = &this->loop;
         prepare(*added);
@@ -489,9 +511,26 @@
 
 http_client::~http_client() = default;
 
-void http_client::send(http_call call, callback done)
+void http_client::send(http_query call, query_callback done)
+{
+    auto added = std::make_unique<transfer>();
+    added->call = std::move(call);
+    added->method = "GET";
+    added->resend = resend_policy::allowed;
+    added->done = [done = std::move(done)](command_result result)
+    { done(to_query_result(std::move(result))); };
+    this->pimpl->send(std::move(added));
+}
+
+void http_client::send(http_command call, command_callback done)
 {
-    this->pimpl->send(std::move(call), std::move(done));
+    auto added = std::make_unique<transfer>();
+    added->method = std::move(call.method);
+    added->body = std::move(call.body);
+    added->call = std::move(call);
+    added->resend = resend_policy::never;
+    added->done = std::move(done);
+    this->pimpl->send(std::move(added));
 }
 
 } // namespace toucanlever
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -41,12 +41,12 @@
 }
 
 /// The JSON body; a discarded value when it is malformed.
-nlohmann::json body_of(http_result const& result)
+nlohmann::json body_of(http_response const& response)
 {
-    return nlohmann::json::parse(result.response.body, nullptr, false);
+    return nlohmann::json::parse(response.body, nullptr, false);
 }
 
-commit_result to_commit_result(http_result const& result)
+commit_result to_commit_result(command_result const& result)
 {
     commit_result out;
     if (result.succeeded())
@@ -62,7 +62,7 @@
     return read_answer("commit-transaction", out,
         [&result]
         {
-            nlohmann::json row = body_of(result);
+            nlohmann::json row = body_of(result.response);
             commit_result conflict;
             // Throws if the key is missing; get() would substitute a default.
             row.at("key");
@@ -79,7 +79,7 @@
     bool more = false;
 };
 
-std::optional<row_page> to_page(http_result const& result)
+std::optional<row_page> to_page(query_result const& result)
 {
     if (!result.succeeded())
     {
@@ -88,7 +88,7 @@
     return read_answer("scan-rows", std::optional<row_page>(),
         [&result]
         {
-            nlohmann::json body = body_of(result);
+            nlohmann::json body = body_of(result.response);
             return std::optional(
                 row_page{body.at("rows").get<std::vector<table_row>>(),
                     body.value("more", false)});
@@ -106,39 +106,50 @@
 {
 }
 
-void http_platform::send(http_call call, http_client::callback done)
+void http_platform::update_watch(
+    bool answered, http_response const& response, std::string const& problem)
+{
+    if (!answered)
+    {
+        this->watch.record_failure(problem);
+    }
+    else if (response.status >= http_server_error)
+    {
+        this->watch.record_failure("status " + std::to_string(response.status));
+    }
+    else
+    {
+        this->watch.record_success();
+    }
+}
+
+void http_platform::fetch(http_query call, http_client::query_callback done)
 {
     call.timeout = this->timeout;
     this->client.send(std::move(call),
-        [this, done](http_result const& result)
+        [this, done](query_result const& result)
         {
-            if (result.delivery != http_delivery::answered)
-            {
-                this->watch.record_failure(result.problem);
-            }
-            else if (result.response.status >= http_server_error)
-            {
-                this->watch.record_failure(
-                    "status " + std::to_string(result.response.status));
-            }
-            else
-            {
-                this->watch.record_success();
-            }
+            this->update_watch(
+                result.answered, result.response, result.problem);
             done(result);
         });
 }
 
 void http_platform::commit(transaction const& work, commit_callback done)
 {
-    http_call call;
-    call.method = "POST";
+    http_command call;
+    call.timeout = this->timeout;
     call.url = this->base + "transactions";
     call.body = nlohmann::json{{"checks", work.checks}, {"writes", work.writes},
         {"deletes", work.deletes}}
                     .dump();
-    this->send(std::move(call),
-        [done](http_result const& result) { done(to_commit_result(result)); });
+    this->client.send(std::move(call),
+        [this, done](command_result const& result)
+        {
+            this->update_watch(result.delivery == http_delivery::answered,
+                result.response, result.problem);
+            done(to_commit_result(result));
+        });
 }
 
 bool http_platform::is_silent() const
@@ -154,15 +165,15 @@
 void http_platform::scan_page(std::string const& prefix,
     std::string const& after, std::vector<table_row> found, rows_callback done)
 {
-    http_call call;
+    http_query call;
     call.url = this->base + "rows?prefix=" + escape_query(prefix) +
                "&after=" + escape_query(after) +
                "&limit=" + std::to_string(rows_per_page);
     // A page has no bound in bytes, and a call that is repeated starts at its
     // first byte again.
     call.stall_timeout = this->timeout;
-    this->send(std::move(call),
-        [this, prefix, found, done](http_result const& result) mutable
+    this->fetch(std::move(call),
+        [this, prefix, found, done](query_result const& result) mutable
         {
             auto page = to_page(result);
             if (!page)
@@ -183,22 +194,22 @@
 
 void http_platform::list(list_callback done)
 {
-    http_call call;
+    http_query call;
     call.url = this->base + "instances";
     if (this->last_list)
     {
         call.headers.push_back({"If-None-Match", this->list_tag});
     }
-    this->send(std::move(call), [this, done](http_result const& result)
+    this->fetch(std::move(call), [this, done](query_result const& result)
         { done(this->handle_list(result)); });
 }
 
 /// Keeps a list that came with an ETag. Without one, the complete list is
 /// requested each time.
-instance_list http_platform::handle_list(http_result const& result)
+instance_list http_platform::handle_list(query_result const& result)
 {
-    bool unchanged = result.delivery == http_delivery::answered &&
-                     result.response.status == http_not_modified;
+    bool unchanged =
+        result.answered && result.response.status == http_not_modified;
     if (unchanged)
     {
         return this->last_list;
@@ -211,7 +222,9 @@
         [&result]
         {
             return std::make_shared<std::vector<instance> const>(
-                body_of(result).at("instances").get<std::vector<instance>>());
+                body_of(result.response)
+                    .at("instances")
+                    .get<std::vector<instance>>());
         });
     if (!fresh)
     {
--- a/src/platform/http_workers.cpp
+++ b/src/platform/http_workers.cpp
@@ -16,7 +16,7 @@
     nlohmann::json body;
 };
 
-parsed_answer parse(http_result const& result)
+parsed_answer parse(command_result const& result)
 {
     parsed_answer out;
     if (result.delivery != http_delivery::answered)
@@ -52,7 +52,7 @@
     return grant;
 }
 
-control_grant to_grant(http_result const& result)
+control_grant to_grant(command_result const& result)
 {
     parsed_answer parsed = parse(result);
     if (parsed.answer == worker_answer::in_doubt)
@@ -75,7 +75,7 @@
     return out;
 }
 
-follow_result to_follow(http_result const& result)
+follow_result to_follow(command_result const& result)
 {
     parsed_answer parsed = parse(result);
     if (parsed.answer != worker_answer::accepted)
@@ -88,7 +88,7 @@
         [&parsed] { return follow_of(parsed); });
 }
 
-start_result to_start(http_result const& result)
+start_result to_start(command_result const& result)
 {
     parsed_answer parsed = parse(result);
     start_result out;
@@ -108,10 +108,9 @@
 } // namespace
 
 void http_workers::post(std::string const& url, nlohmann::json const& body,
-    milliseconds extra_time, http_client::callback done)
+    milliseconds extra_time, http_client::command_callback done)
 {
-    http_call call;
-    call.method = "POST";
+    http_command call;
     call.url = url;
     call.body = body.dump();
     call.timeout = this->timeout + extra_time;
@@ -124,7 +123,7 @@
 {
     nlohmann::json body{{"holder", holder}, {"lease_ms", lease_ms}};
     this->post(base + "/control/acquire", body, milliseconds(0),
-        [done](http_result const& result) { done(to_grant(result)); });
+        [done](command_result const& result) { done(to_grant(result)); });
 }
 
 void http_workers::renew(std::string const& base, std::string const& holder,
@@ -134,7 +133,7 @@
     nlohmann::json body{{"holder", holder}, {"epoch", epoch}, {"token", token},
         {"lease_ms", lease_ms}};
     this->post(base + "/control/renew", body, milliseconds(0),
-        [done](http_result const& result) { done(to_grant(result)); });
+        [done](command_result const& result) { done(to_grant(result)); });
 }
 
 void http_workers::release(
@@ -142,14 +141,14 @@
 {
     nlohmann::json body{{"holder", holder}, {"epoch", epoch}};
     this->post(base + "/control/release", body, milliseconds(0),
-        [](http_result const&) {});
+        [](command_result const&) {});
 }
 
 void http_workers::start(std::string const& base, task_start const& task,
     std::function<void(start_result)> done)
 {
     this->post(base + "/tasks/start", task, milliseconds(0),
-        [done](http_result const& result) { done(to_start(result)); });
+        [done](command_result const& result) { done(to_start(result)); });
 }
 
 void http_workers::stop(std::string const& base, std::string const& task,
@@ -157,15 +156,15 @@
 {
     nlohmann::json body{{"id", task}, {"owner", owner},
         {"checkpoint", how == stop_kind::at_checkpoint}};
-    this->post(
-        base + "/tasks/stop", body, milliseconds(0), [](http_result const&) {});
+    this->post(base + "/tasks/stop", body, milliseconds(0),
+        [](command_result const&) {});
 }
 
 void http_workers::follow(std::string const& base,
     follow_request const& request, std::function<void(follow_result)> done)
 {
     this->post(base + "/follow", request, milliseconds(request.wait_ms),
-        [done](http_result const& result) { done(to_follow(result)); });
+        [done](command_result const& result) { done(to_follow(result)); });
 }
 
 void http_workers::fence(std::string const& base,
@@ -174,7 +173,7 @@
 {
     nlohmann::json body{{"owners", owners}, {"successor", successor}};
     this->post(base + "/owners/fence", body, milliseconds(0),
-        [done](http_result const& result) { done(to_follow(result)); });
+        [done](command_result const& result) { done(to_follow(result)); });
 }
 
 } // namespace toucanlever
--- a/src/programs/ctl/api_client.cpp
+++ b/src/programs/ctl/api_client.cpp
@@ -12,7 +12,7 @@
     steady_clock time;
     event_loop loop(time);
     http_client client(loop);
-    http_call call;
+    http_command call;
     call.method = method;
     call.url = "http://" + target.gateway + path;
     call.body = body;
@@ -24,7 +24,7 @@
     }
     api_answer answer;
     client.send(std::move(call),
-        [&answer, &loop](http_result const& result)
+        [&answer, &loop](command_result const& result)
         {
             if (result.delivery == http_delivery::answered)
             {
