An error that promises nothing leaves a request in doubt

Cause: everything but 200 and a few known codes was a refusal, in `decode_change` and `decode_refusal`.

Change: `http_status::is_refusal` names the codes that promise that nothing was done: 4xx, with which a server rejects a request, and 503, which the platform defines so. All others leave the outcome in doubt.

--- a/include/toucanlever/http/status.hpp
+++ b/include/toucanlever/http/status.hpp
@@ -16,4 +16,12 @@
 inline constexpr int unavailable = 503;
 inline constexpr int gateway_timeout = 504;
 
+/// True for a response with which the peer says that it has not done what was
+/// requested. Other errors leave that open: the peer, or a proxy before it, may
+/// have failed after the request was carried out.
+constexpr bool is_refusal(int status)
+{
+    return (status >= 400 && status < 500) || status == unavailable;
+}
+
 } // namespace toucanlever::http_status
--- a/tests/unit/http_client.tests.cpp
+++ b/tests/unit/http_client.tests.cpp
@@ -28,8 +28,9 @@
 {
 public:
     explicit lost_response_fixture(
-        later_connections later = later_connections::answered)
-        : server(this->ip, port, later)
+        later_connections later = later_connections::answered,
+        int later_status = 503)
+        : server(this->ip, port, later, later_status)
     {
         query_result first;
         http_query warm_up;
@@ -195,3 +196,24 @@
     cr_assert(result.answer == worker_answer::in_doubt);
     cr_assert(fixture.server.requests() == 2);
 }
+
+// Guards against a job that is refused and runs.
+Test(store_client, a_transaction_that_fails_with_no_promise_is_in_doubt)
+{
+    for (auto [status, outcome] : {std::pair(500, change_outcome::in_doubt),
+             std::pair(502, change_outcome::in_doubt),
+             std::pair(504, change_outcome::in_doubt),
+             std::pair(503, change_outcome::not_done),
+             std::pair(429, change_outcome::not_done)})
+    {
+        lost_response_fixture fixture(later_connections::answered, status);
+        fixture.send_command();
+        store_client store(fixture.client, fixture.address);
+        auto result = fixture.result_of<change_result>(
+            [&](auto done) {
+                store.commit(
+                    record_change{}, milliseconds(1000), std::move(done));
+            });
+        cr_assert(result.outcome == outcome, "status %d", status);
+    }
+}
--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -299,6 +299,7 @@
               order_outcome::refused_ticket);
     cr_assert(decode_refusal(421, "") == order_outcome::other_incarnation);
     cr_assert(decode_refusal(503, "") == order_outcome::not_done);
+    cr_assert(decode_refusal(429, "") == order_outcome::not_done);
 }
 
 Test(strekbod, base64_round_trips)
@@ -335,3 +336,12 @@
     cr_assert(settings_problem("name: n\n").find("failure_domain") !=
               std::string::npos);
 }
+
+// Guards against an order that was carried out and is taken for refused.
+Test(strekbod, an_error_that_promises_nothing_leaves_an_order_in_doubt)
+{
+    for (int status : {204, 302, 500, 502, 504})
+    {
+        cr_assert(decode_refusal(status, "") == order_outcome::in_doubt);
+    }
+}
