A request without an answer at shutdown is not refused

Callers of an instance that was stopped at the end of its grace period could get 503, which promises that a job never runs, while the transaction that stores it was in flight (REFUSED). Found while looking at every answer that means "not done"; not seen from outside.

Cause: the destructor of the HTTP server answered all requests that were still with the handler with 503 and "ran":"no".

Change: it answers 504, outcome-unknown, "ran":"unknown". An instance that drains in time answers all requests itself, as before.

Evidence: with 503 the new test fails.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "toucanlever/http/server.hpp"
 
 #include "toucanlever/core/error.hpp"
+#include "toucanlever/http/status.hpp"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -142,11 +143,11 @@
     bool waiting_for_caller = true;
 };
 
-http_response make_error_response(int status, error_code code,
-    std::string const& message, std::string const& peer)
+http_response make_error_response(int status, error const& problem)
 {
-    nlohmann::json body{{"code", name_of(code)}, {"message", message},
-        {"step", "read-request"}, {"peer", peer}, {"ran", "no"}};
+    nlohmann::json body{{"code", name_of(problem.code)},
+        {"message", problem.what()}, {"step", problem.step},
+        {"peer", problem.peer}, {"ran", name_of(problem.ran)}};
     return json_response(status, body.dump());
 }
 
@@ -246,10 +247,12 @@
         if (current->too_large)
         {
             return queue_response(connection,
-                make_error_response(413, error_code::too_large,
-                    "body is larger than " +
-                        std::to_string(this->limits.max_body_bytes) + " bytes",
-                    current->request.peer));
+                make_error_response(
+                    413, error(error_code::too_large,
+                             "body is larger than " +
+                                 std::to_string(this->limits.max_body_bytes) +
+                                 " bytes",
+                             "read-request", current->request.peer)));
         }
         this->dispatch_request(connection, *current);
         return MHD_YES;
@@ -371,8 +374,12 @@
         }
         for (auto const& exchange : waiting)
         {
-            exchange->answer(make_error_response(503, error_code::unavailable,
-                "the instance is shutting down", {}));
+            // The handler has begun to work on the request, so 503 would
+            // promise too much.
+            exchange->answer(make_error_response(http_status::gateway_timeout,
+                error(error_code::outcome_unknown,
+                    "the instance is shutting down", "await-handler", {},
+                    run_state::unknown)));
         }
     }
 
--- a/tests/unit/http_server.tests.cpp
+++ b/tests/unit/http_server.tests.cpp
@@ -1,10 +1,14 @@
 #include "toucanlever/http/server.hpp"
 
+#include "toucanlever/http/client.hpp"
+
 #include "loopback.hpp"
+#include "unreliable_server.hpp"
 #include <arpa/inet.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -110,3 +114,48 @@
     cr_assert(server.send(post("half", 900)).find("200") == std::string::npos);
     cr_assert(server.send("POST / HT").find("200") == std::string::npos);
 }
+
+// Guards against a job that is refused by an instance that shuts down, and
+// runs.
+Test(http_server, a_request_without_an_answer_at_shutdown_is_not_refused)
+{
+    /// Never answers.
+    class silent_handler final : public http_handler
+    {
+    public:
+        void on_request(
+            http_request, std::shared_ptr<http_exchange> exchange) override
+        {
+            this->exchange = std::move(exchange);
+        }
+
+        std::shared_ptr<http_exchange> exchange;
+    };
+
+    std::string const address = own_ip(1) + ":" + std::to_string(port);
+    steady_clock time;
+    event_loop loop{time};
+    // Whether the response is sent before the connection closes is a matter of
+    // timing, so one attempt may show nothing.
+    constexpr int attempts = 40;
+    for (int i = 0; i < attempts; ++i)
+    {
+        silent_handler handler;
+        auto server = std::make_unique<http_server>(
+            loop, address, handler, http_limits{});
+        http_client client(loop);
+        http_command command;
+        command.url = "http://" + address + "/";
+        std::optional<command_result> got;
+        client.send(
+            command, [&got](command_result const& result) { got = result; });
+        cr_assert(run_until(
+            loop, [&handler] { return handler.exchange != nullptr; }));
+        server.reset();
+        cr_assert(run_until(loop, [&got] { return got.has_value(); }));
+        bool is_unknown =
+            got->response.status == 504 &&
+            got->response.body.find(R"("ran":"unknown")") != std::string::npos;
+        cr_assert(got->delivery == http_delivery::in_doubt || is_unknown);
+    }
+}
