--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -32,7 +32,8 @@
         std::function<void(std::string const& reason)> on_replaced);
     ~dispatcher();
 
-    /// Adds a job that the store holds; a known job is ignored.
+    /// Adds a job that an instance has stored, at this version of the store. A
+    /// job that is known, or that was forgotten after its end, is ignored.
     void accept(work_record record, std::int64_t version);
     void cancel(std::string const& job);
 
@@ -48,6 +49,8 @@
 
 private:
     void on_job_rows(std::vector<record> const& rows);
+    void on_job_row(record const& row);
+    void add_job(work_record record, std::int64_t version);
     void load_if_complete();
     void replay_journal();
     void sweep();
@@ -66,6 +69,8 @@
     std::optional<std::vector<record>> journal_rows;
     bool jobs_read = false;
     bool loaded = false;
+    // Jobs whose rows another version of this program has written.
+    std::set<std::string> unreadable_jobs;
     // Jobs whose cancellation arrived before the job itself.
     std::set<std::string> pending_cancellations;
     event_loop::timer_id sweep_timer = 0;
--- a/include/toucanlever/cell/record_follower.hpp
+++ b/include/toucanlever/cell/record_follower.hpp
@@ -72,6 +72,12 @@
     /// When the last answered call was sent. All rows that were written before
     /// are known here.
     time_point fresh_at() const { return this->fresh_time; }
+    /// The store's version up to which all changes have been passed on; 0 while
+    /// all rows are being read.
+    std::int64_t followed_version() const
+    {
+        return this->scanning ? 0 : this->version;
+    }
     bool has_snapshot() const { return this->complete; }
     /// True when the last call for changes was answered.
     bool is_following() const
--- a/include/toucanlever/cell/record_store.hpp
+++ b/include/toucanlever/cell/record_store.hpp
@@ -20,6 +20,8 @@
     std::string table;
     std::string part;
     std::string key;
+
+    bool operator==(record_key const&) const = default;
 };
 
 /// One row. The versions of all rows come from one rising counter of the store.
--- a/include/toucanlever/cell/row_cleaner.hpp
+++ b/include/toucanlever/cell/row_cleaner.hpp
@@ -1,9 +1,12 @@
 /// Removes the rows of forgotten jobs from the store.
 ///
-/// The order matters: a job's own rows are removed first, its cancellation and
-/// its completion journal rows only after that removal is confirmed. In the
-/// opposite order, a scheduler that starts in between would take the job for a
-/// new one.
+/// A job whose rows can still be read must not be taken for a new one:
+///
+/// - Within a term, a forgotten job is remembered until its rows are removed
+///   and the scheduler has read the table of jobs beyond that removal.
+/// - A job's own rows are removed first, its cancellation and its journal rows
+///   only after that removal is confirmed. In the opposite order, a scheduler
+///   that starts in between would take the job for a new one.
 #pragma once
 
 #include "toucanlever/cell/record_store.hpp"
@@ -26,7 +29,8 @@
     row_cleaner(event_loop& loop, record_store& store);
     ~row_cleaner();
 
-    /// Adds a job's own row, or the row that records its cancellation.
+    /// Adds a job's own row, or the row that records its cancellation. No
+    /// effect for a row that is known. The row of a forgotten job is removed.
     void note_job_row(std::string const& job, record_key const& row);
     void note_cancel_row(std::string const& job, record_key const& row);
 
@@ -37,8 +41,19 @@
     /// Schedules the rows of an ended job for removal.
     void forget(std::string const& job);
 
+    /// True for a forgotten job of which a row exists, or may still be returned
+    /// by a read.
+    bool is_forgotten(std::string const& job) const
+    {
+        return this->forgotten.contains(job);
+    }
+
+    /// To be called when the table of jobs has been read up to this version of
+    /// the store: removals up to it no longer need to be remembered.
+    void note_jobs_read(std::int64_t version);
+
     /// Number of forgotten jobs whose rows are still to be removed.
-    std::size_t backlog() const { return this->forgotten_jobs.size(); }
+    std::size_t backlog() const { return this->pending_jobs.size(); }
 
 private:
     /// Keys of a job's rows in the store.
@@ -47,28 +62,41 @@
         std::vector<record_key> own;
         std::vector<record_key> cancels;
         std::vector<std::string> journal_keys;
+        // The job is in `pending_jobs`.
+        bool pending = false;
+    };
+
+    /// A row that a transaction removes, and the job that it belongs to; no job
+    /// for a journal row.
+    struct removal
+    {
+        std::string job;
+        record_key row;
     };
 
+    void enqueue(std::string const& job);
     void schedule_cleaning();
     void remove_next_batch();
-    void select_job_row();
-    void select_unreferenced_rows();
-    void handle_result(change_result const& result);
-    void unreference_rows(job_rows const& rows);
+    std::vector<removal> select_batch() const;
+    void handle_result(
+        std::vector<removal> const& batch, change_result const& result);
+    void complete_jobs(std::int64_t version);
+    void unreference_journal(job_rows const& rows);
 
     event_loop& loop;
     record_store& store;
     std::map<std::string, job_rows> rows_by_job;
     // By journal row: number of jobs not yet removed that have entries in it.
     std::map<std::string, std::size_t> journal_references;
-    std::deque<std::string> forgotten_jobs;
-    // Cancellation and journal rows that no job needs any more.
+    // Invariant: contains the jobs of `pending_jobs` and of `removed_jobs`.
+    std::set<std::string> forgotten;
+    // Forgotten jobs whose rows are still to be removed, in order.
+    std::deque<std::string> pending_jobs;
+    // Jobs whose rows were removed, by the version of that transaction.
+    std::multimap<std::int64_t, std::string> removed_jobs;
+    // Journal rows that no job needs any more.
     std::deque<record_key> unreferenced;
-    // Rows that the transaction in flight removes.
-    std::vector<record_key> removal_batch;
-    // The transaction in flight removes the last element of `own` of the first
-    // forgotten job.
-    bool removing_job_row = false;
+    bool in_flight = false;
     bool scheduled = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -77,18 +77,7 @@
         std::string const& key = row.at.key;
         if (!row.removed && !key.ends_with(tables::cancel_suffix))
         {
-            try
-            {
-                this->accept(unpack<work_record>(row.value, "record-store"),
-                    row.version);
-                this->cleaner.note_job_row(key, row.at);
-            }
-            catch (error const& problem)
-            {
-                log_line("job-record-unreadable")
-                    .with("job", key)
-                    .with("problem", problem.what());
-            }
+            this->on_job_row(row);
         }
     }
     for (record const& row : rows)
@@ -106,6 +95,28 @@
     this->load_if_complete();
 }
 
+void dispatcher::on_job_row(record const& row)
+{
+    try
+    {
+        auto job = unpack<work_record>(row.value, "record-store");
+        this->cleaner.note_job_row(row.at.key, row.at);
+        // All rows are read again after the store has lost its history, also
+        // those of jobs that ended long ago.
+        if (!this->cleaner.is_forgotten(row.at.key))
+        {
+            this->add_job(std::move(job), row.version);
+        }
+    }
+    catch (error const& problem)
+    {
+        this->unreadable_jobs.insert(row.at.key);
+        log_line("job-record-unreadable")
+            .with("job", row.at.key)
+            .with("problem", problem.what());
+    }
+}
+
 void dispatcher::load_if_complete()
 {
     if (this->loaded || !this->jobs_read || !this->roster.is_read() ||
@@ -147,11 +158,28 @@
             jobs.insert(entry.task.step.job);
         }
         this->cleaner.note_journal_row(row.at.key, jobs);
+        for (std::string const& job : jobs)
+        {
+            // An earlier scheduler has removed the job's own rows.
+            if (this->state.registry.find(job) == nullptr &&
+                !this->unreadable_jobs.contains(job))
+            {
+                this->cleaner.forget(job);
+            }
+        }
     }
     this->journal_rows->clear();
 }
 
 void dispatcher::accept(work_record record, std::int64_t version)
+{
+    if (!this->cleaner.is_forgotten(record.id))
+    {
+        this->add_job(std::move(record), version);
+    }
+}
+
+void dispatcher::add_job(work_record record, std::int64_t version)
 {
     std::string id = record.id;
     if (this->state.registry.add(std::move(record), version, wall_time_ms(),
@@ -174,7 +202,8 @@
         log_line("job-cancelled").with("job", job);
         this->orders.stop_job(job);
     }
-    else if (this->state.registry.find(job) == nullptr)
+    else if (this->state.registry.find(job) == nullptr &&
+             !this->cleaner.is_forgotten(job))
     {
         // The job itself is announced separately and can arrive later.
         this->pending_cancellations.insert(job);
@@ -225,6 +254,7 @@
     {
         this->cleaner.forget(job);
     }
+    this->cleaner.note_jobs_read(this->job_follower->followed_version());
     this->reports.sweep();
     this->roster.sweep();
     metrics().set("jobs_open",
--- a/src/cell/row_cleaner.cpp
+++ b/src/cell/row_cleaner.cpp
@@ -4,6 +4,7 @@
 
 #include "toucanlever/core/metrics.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucanlever
@@ -20,6 +21,14 @@
 /// work.
 constexpr milliseconds removal_interval{100};
 
+void add_row(std::vector<record_key>& rows, record_key const& row)
+{
+    if (std::find(rows.begin(), rows.end(), row) == rows.end())
+    {
+        rows.push_back(row);
+    }
+}
+
 } // namespace
 
 row_cleaner::row_cleaner(event_loop& loop, record_store& store)
@@ -35,12 +44,20 @@
 
 void row_cleaner::note_job_row(std::string const& job, record_key const& row)
 {
-    this->rows_by_job[job].own.push_back(row);
+    add_row(this->rows_by_job[job].own, row);
+    if (this->is_forgotten(job))
+    {
+        this->enqueue(job);
+    }
 }
 
 void row_cleaner::note_cancel_row(std::string const& job, record_key const& row)
 {
-    this->rows_by_job[job].cancels.push_back(row);
+    add_row(this->rows_by_job[job].cancels, row);
+    if (this->is_forgotten(job))
+    {
+        this->enqueue(job);
+    }
 }
 
 void row_cleaner::note_journal_row(
@@ -50,21 +67,49 @@
     for (std::string const& job : referenced_jobs)
     {
         this->rows_by_job[job].journal_keys.push_back(key);
+        if (this->is_forgotten(job))
+        {
+            this->enqueue(job);
+        }
     }
 }
 
 void row_cleaner::forget(std::string const& job)
 {
+    // Also a job whose rows have not been read yet.
+    this->forgotten.insert(job);
     if (this->rows_by_job.contains(job))
     {
-        this->forgotten_jobs.push_back(job);
-        this->schedule_cleaning();
+        this->enqueue(job);
     }
 }
 
+void row_cleaner::enqueue(std::string const& job)
+{
+    if (!std::exchange(this->rows_by_job.at(job).pending, true))
+    {
+        this->pending_jobs.push_back(job);
+    }
+    this->schedule_cleaning();
+}
+
+void row_cleaner::note_jobs_read(std::int64_t version)
+{
+    auto end = this->removed_jobs.upper_bound(version);
+    for (auto each = this->removed_jobs.begin(); each != end; ++each)
+    {
+        // A job that has further rows is still pending.
+        if (!this->rows_by_job.contains(each->second))
+        {
+            this->forgotten.erase(each->second);
+        }
+    }
+    this->removed_jobs.erase(this->removed_jobs.begin(), end);
+}
+
 void row_cleaner::schedule_cleaning()
 {
-    if (this->scheduled || !this->removal_batch.empty())
+    if (this->scheduled || this->in_flight)
     {
         return;
     }
@@ -80,90 +125,109 @@
         });
 }
 
-void row_cleaner::remove_next_batch()
+std::vector<row_cleaner::removal> row_cleaner::select_batch() const
 {
-    if (this->unreferenced.empty())
+    // The own rows of one job first, then its cancellations; otherwise journal
+    // rows. A transaction changes rows of one part.
+    std::vector<removal> batch;
+    auto add = [&batch](std::string const& job, record_key const& row)
     {
-        this->select_job_row();
+        if (batch.size() < max_removals &&
+            (batch.empty() || batch.front().row.part == row.part))
+        {
+            batch.push_back({job, row});
+        }
+    };
+    if (!this->pending_jobs.empty())
+    {
+        std::string const& job = this->pending_jobs.front();
+        job_rows const& rows = this->rows_by_job.at(job);
+        for (record_key const& row : rows.own.empty() ? rows.cancels : rows.own)
+        {
+            add(job, row);
+        }
+        return batch;
     }
-    if (this->removal_batch.empty())
+    for (record_key const& row : this->unreferenced)
     {
-        this->select_unreferenced_rows();
+        add({}, row);
     }
-    if (this->removal_batch.empty())
+    return batch;
+}
+
+void row_cleaner::remove_next_batch()
+{
+    // Jobs without rows of their own, which an earlier scheduler removed.
+    this->complete_jobs(0);
+    std::vector<removal> batch = this->select_batch();
+    if (batch.empty())
     {
         return;
     }
     record_change change;
-    change.removals = this->removal_batch;
+    for (removal const& each : batch)
+    {
+        change.removals.push_back(each.row);
+    }
+    this->in_flight = true;
     this->store.commit(change, commit_timeout,
-        [this, alive = this->alive](change_result const& result)
+        [this, batch = std::move(batch), alive = this->alive](
+            change_result const& result)
         {
             if (*alive)
             {
-                this->handle_result(result);
+                this->in_flight = false;
+                this->handle_result(batch, result);
             }
         });
 }
 
-void row_cleaner::select_unreferenced_rows()
+void row_cleaner::handle_result(
+    std::vector<removal> const& batch, change_result const& result)
 {
-    // A transaction may change rows of one part only.
-    while (
-        !this->unreferenced.empty() &&
-        this->removal_batch.size() < max_removals &&
-        (this->removal_batch.empty() || this->unreferenced.front().part ==
-                                            this->removal_batch.front().part))
+    if (result.outcome == change_outcome::committed)
+    {
+        metrics().count(
+            "rows_removed", static_cast<std::int64_t>(batch.size()));
+        for (removal const& each : batch)
+        {
+            if (each.job.empty())
+            {
+                std::erase(this->unreferenced, each.row);
+                continue;
+            }
+            job_rows& rows = this->rows_by_job.at(each.job);
+            std::erase(rows.own, each.row);
+            std::erase(rows.cancels, each.row);
+        }
+        this->complete_jobs(result.version);
+    }
+    if (!this->pending_jobs.empty() || !this->unreferenced.empty())
     {
-        this->removal_batch.push_back(this->unreferenced.front());
-        this->unreferenced.pop_front();
+        this->schedule_cleaning();
     }
 }
 
-void row_cleaner::select_job_row()
+void row_cleaner::complete_jobs(std::int64_t version)
 {
-    while (!this->forgotten_jobs.empty() && this->removal_batch.empty())
+    std::deque<std::string> remaining;
+    for (std::string& job : this->pending_jobs)
     {
-        job_rows& rows = this->rows_by_job.at(this->forgotten_jobs.front());
-        if (rows.own.empty())
+        auto rows = this->rows_by_job.find(job);
+        if (!rows->second.own.empty() || !rows->second.cancels.empty())
         {
-            this->unreference_rows(rows);
-            this->rows_by_job.erase(this->forgotten_jobs.front());
-            this->forgotten_jobs.pop_front();
+            remaining.push_back(std::move(job));
             continue;
         }
-        this->removal_batch.push_back(rows.own.back());
-        this->removing_job_row = true;
-    }
-}
-
-void row_cleaner::handle_result(change_result const& result)
-{
-    std::vector<record_key> batch = std::move(this->removal_batch);
-    this->removal_batch.clear();
-    bool is_committed = result.outcome == change_outcome::committed;
-    metrics().count("rows_removed",
-        is_committed ? static_cast<std::int64_t>(batch.size()) : 0);
-    bool is_job_row = std::exchange(this->removing_job_row, false);
-    if (is_job_row && is_committed)
-    {
-        this->rows_by_job.at(this->forgotten_jobs.front()).own.pop_back();
-    }
-    else if (!is_job_row && !is_committed)
-    {
-        this->unreferenced.insert(
-            this->unreferenced.end(), batch.begin(), batch.end());
-    }
-    if (!this->forgotten_jobs.empty() || !this->unreferenced.empty())
-    {
-        this->schedule_cleaning();
+        this->unreference_journal(rows->second);
+        this->rows_by_job.erase(rows);
+        this->removed_jobs.emplace(version, std::move(job));
     }
+    this->pending_jobs = std::move(remaining);
 }
 
-void row_cleaner::unreference_rows(job_rows const& rows)
+void row_cleaner::unreference_journal(job_rows const& rows)
 {
-    this->unreferenced.insert(
-        this->unreferenced.end(), rows.cancels.begin(), rows.cancels.end());
     for (std::string const& key : rows.journal_keys)
     {
         auto found = this->journal_references.find(key);
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -285,6 +285,43 @@
     cr_assert(fixture.store.find(journal_row) == nullptr);
 }
 
+// Guards against a process that ends in the cleaner.
+Test(row_cleaner, a_job_that_is_forgotten_twice_is_removed_once)
+{
+    store_fixture fixture;
+    record_key const row = tables::job_row_key("node", "a");
+    fixture.store.set(row, "v");
+    row_cleaner cleaner(fixture.loop, fixture.store);
+    cleaner.note_job_row("a", row);
+    cleaner.forget("a");
+    cleaner.forget("a");
+    fixture.pass(milliseconds(1000));
+    cr_assert(fixture.store.count(tables::jobs) == 0U);
+    cr_assert(cleaner.backlog() == 0U);
+}
+
+Test(row_cleaner, a_job_is_remembered_until_its_removal_has_been_read)
+{
+    store_fixture fixture;
+    record_key const row = tables::job_row_key("node", "a");
+    std::int64_t const stored = fixture.store.set(row, "v");
+    row_cleaner cleaner(fixture.loop, fixture.store);
+    cleaner.note_job_row("a", row);
+    cleaner.forget("a");
+    cr_assert(cleaner.is_forgotten("a"));
+    fixture.pass(milliseconds(1000));
+    cr_assert(fixture.store.find(row) == nullptr);
+    cleaner.note_jobs_read(stored);
+    cr_assert(cleaner.is_forgotten("a"));
+    // A read that began before the removal returns the row.
+    cleaner.note_job_row("a", row);
+    cleaner.note_jobs_read(fixture.store.version);
+    cr_assert(cleaner.is_forgotten("a"));
+    fixture.pass(milliseconds(1000));
+    cleaner.note_jobs_read(fixture.store.version);
+    cr_assert_not(cleaner.is_forgotten("a"));
+}
+
 Test(record_follower, reads_all_pages_then_follows_and_reads_again_when_lost)
 {
     store_fixture fixture;
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1741,6 +1741,69 @@
     }
 }
 
+namespace
+{
+
+/// Runs this many jobs to their end, and forgets them.
+void run_and_forget_jobs(cell_fixture& fixture, int count)
+{
+    for (int i = 0; i < count; ++i)
+    {
+        fixture.submit("job-" + std::to_string(i), 1);
+    }
+    for (int i = 0; i < count; ++i)
+    {
+        fixture.run_for(milliseconds(100));
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+    }
+    fixture.run_for(milliseconds(500));
+    auto const starts = static_cast<std::size_t>(count);
+    cr_assert(fixture.workers.all_starts.size() == starts);
+    // Longer than ended jobs are kept.
+    fixture.run_for(milliseconds(60500));
+    cr_assert_not(fixture.state_of("job-0").has_value());
+}
+
+} // namespace
+
+// Guards against ended jobs that run again after the store forgot its history.
+Test(dispatcher, a_forgotten_job_whose_row_is_read_again_is_not_started)
+{
+    constexpr int jobs = 40;
+    cell_fixture fixture;
+    fixture.begin_term();
+    // Rows that cannot be removed stay readable.
+    fixture.store.on_commit = [](record_change const& change)
+    { return change.removals.empty(); };
+    run_and_forget_jobs(fixture, jobs);
+    for (int i = 0; i < 3; ++i)
+    {
+        fixture.store.history_lost = true;
+        fixture.run_for(5 * second);
+        cr_assert(fixture.workers.all_starts.size() == std::size_t{jobs});
+    }
+    fixture.store.on_commit = nullptr;
+    fixture.run_for(30 * second);
+    cr_assert(fixture.store.count(tables::jobs) == 0U);
+    cr_assert(fixture.store.count(tables::journal) == 0U);
+}
+
+Test(dispatcher, a_successor_does_not_start_a_job_whose_rows_remain)
+{
+    constexpr int jobs = 40;
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.store.on_commit = [](record_change const& change)
+    { return change.removals.empty(); };
+    run_and_forget_jobs(fixture, jobs);
+    fixture.begin_term();
+    fixture.run_for(5 * second);
+    fixture.store.history_lost = true;
+    fixture.run_for(5 * second);
+    cr_assert(fixture.workers.all_starts.size() == std::size_t{jobs});
+    cr_assert(fixture.state_of("job-0") == work_state::succeeded);
+}
+
 Test(dispatcher, gangs_start_in_time_when_calls_for_advice_are_slow)
 {
     // One instance makes calls of 100 ms and 1.5 ms for each worker named. A
--- a/tests/unit/fake_record_store.hpp
+++ b/tests/unit/fake_record_store.hpp
@@ -45,7 +45,7 @@
             done({});
             return;
         }
-        if (this->rejecting)
+        if (this->rejecting || (this->on_commit && !this->on_commit(change)))
         {
             done({change_outcome::not_done, 0, {}});
             return;
@@ -157,6 +157,19 @@
         return found == this->rows.end() ? nullptr : &found->second;
     }
 
+    /// The key of the table's first row.
+    std::optional<record_key> first_key(std::string const& table) const
+    {
+        for (auto const& [id, row] : this->rows)
+        {
+            if (row.at.table == table)
+            {
+                return row.at;
+            }
+        }
+        return std::nullopt;
+    }
+
     std::size_t count(std::string const& table) const
     {
         return static_cast<std::size_t>(
@@ -172,6 +185,8 @@
     bool unavailable = false;
     /// Reads fail, and transactions end as not done.
     bool rejecting = false;
+    /// Transactions for which it returns false end as not done.
+    std::function<bool(record_change const&)> on_commit;
     /// Reads of these tables fail.
     std::set<std::string> unreadable_tables;
     /// The next read of changes reports a lost history, once.
