--- a/include/toucanlever/cell/completion_journal.hpp
+++ b/include/toucanlever/cell/completion_journal.hpp
@@ -16,19 +16,6 @@
 namespace toucanlever
 {
 
-/// A run of a task that succeeded or failed, or under which its worker crashed.
-struct run_completion
-{
-    task_id task;
-    std::uint64_t run = 0;
-    run_outcome outcome = run_outcome::failed;
-    /// For a crash: the worker ran tasks of no other job. Absent in rows of
-    /// earlier versions.
-    bool isolated = false;
-
-    MSGPACK_DEFINE(task, run, outcome, isolated)
-};
-
 /// Proves that an instance is the active scheduler: the version of the leader
 /// row that it wrote.
 struct leader_proof
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -244,6 +244,20 @@
         row{run_outcome::worker_crashed, "worker-crashed"}};
 };
 
+/// The recorded end of a run: the task succeeded or failed, or its worker
+/// crashed.
+struct run_completion
+{
+    task_id task;
+    std::uint64_t run = 0;
+    run_outcome outcome = run_outcome::failed;
+    /// For a crash: the worker ran tasks of no other job. Absent in rows of
+    /// earlier versions.
+    bool isolated = false;
+
+    MSGPACK_DEFINE(task, run, outcome, isolated)
+};
+
 } // namespace toucanlever
 
 MSGPACK_ADD_ENUM(toucanlever::work_state)
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -115,6 +115,9 @@
     // By occurrence number; an occurrence is created when it is due.
     std::map<std::uint32_t, std::vector<registry_step>> occurrences;
     std::uint32_t finished_occurrences = 0;
+    // Of occurrences that are not due yet by this scheduler's clock, but were
+    // by the clock of an earlier one.
+    std::vector<run_completion> early_completions;
 
     bool open() const
     {
@@ -194,6 +197,10 @@
     completion_effect record_crash(
         task_id const& task, std::uint64_t run, bool isolated, time_point now);
 
+    /// Applies a completion or crash that an earlier scheduler has recorded;
+    /// for an occurrence that is not created yet, when it is created.
+    void replay(run_completion const& entry, time_point now);
+
     /// Cancels the job; false when it is unknown or has ended.
     bool cancel(std::string const& job, time_point now);
 
@@ -216,6 +223,7 @@
 private:
     void create_occurrence(
         registry_job& job, std::uint32_t occurrence, time_point now);
+    void apply(run_completion const& entry, time_point now);
     void update_readiness(
         registry_job& job, registry_step& step, time_point now);
     void update_all_readiness(
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -145,16 +145,7 @@
         for (run_completion const& entry :
             completion_journal::decode(row.value))
         {
-            if (entry.outcome == run_outcome::worker_crashed)
-            {
-                this->state.registry.record_crash(
-                    entry.task, entry.run, entry.isolated, now);
-            }
-            else
-            {
-                this->state.registry.record_completion(
-                    entry.task, entry.run, entry.outcome, now);
-            }
+            this->state.registry.replay(entry, now);
             jobs.insert(entry.task.step.job);
         }
         this->cleaner.note_journal_row(row.at.key, jobs);
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -150,6 +150,36 @@
         steps.push_back(std::move(step));
     }
     this->update_all_readiness(job, occurrence, now);
+    std::vector<run_completion> const early = std::move(job.early_completions);
+    job.early_completions.clear();
+    for (run_completion const& entry : early)
+    {
+        this->replay(entry, now);
+    }
+}
+
+void work_registry::replay(run_completion const& entry, time_point now)
+{
+    registry_job* job = this->find(entry.task.step.job);
+    std::uint32_t const occurrence = entry.task.step.occurrence;
+    bool is_early = job != nullptr && occurrence < job->record.repetitions &&
+                    !job->occurrences.contains(occurrence);
+    if (is_early)
+    {
+        job->early_completions.push_back(entry);
+        return;
+    }
+    this->apply(entry, now);
+}
+
+void work_registry::apply(run_completion const& entry, time_point now)
+{
+    if (entry.outcome == run_outcome::worker_crashed)
+    {
+        this->record_crash(entry.task, entry.run, entry.isolated, now);
+        return;
+    }
+    this->record_completion(entry.task, entry.run, entry.outcome, now);
 }
 
 step_rank work_registry::rank_of(
--- a/tests/unit/work_registry.tests.cpp
+++ b/tests/unit/work_registry.tests.cpp
@@ -238,3 +238,23 @@
         registry.record_crash({{"a", 0, 0}, 1}, 1, true, now).job_ended);
     cr_assert(registry.record_crash({{"a", 0, 0}, 1}, 2, true, now).job_ended);
 }
+
+// Guards against an occurrence that runs again after a succession, because the
+// clock of the earlier scheduler was ahead.
+Test(work_registry, a_recorded_end_is_kept_until_its_occurrence_is_due)
+{
+    work_registry registry;
+    work_record record = make_job("a", {make_step(1)});
+    record.repetitions = 2;
+    record.first_run_ms = 1000;
+    record.interval_ms = 1000;
+    registry.add(record, 1, 0, now);
+    registry.replay({{{"a", 0, 0}, 0}, 1, run_outcome::succeeded}, now);
+    registry.replay({{{"a", 1, 0}, 0}, 1, run_outcome::succeeded}, now);
+    registry.create_due_occurrences(1000, now);
+    cr_assert(registry.ready().empty());
+    cr_assert(registry.find("a")->open());
+    registry.create_due_occurrences(2000, now);
+    cr_assert(registry.ready().empty());
+    cr_assert(registry.find("a")->state == work_state::succeeded);
+}
