--- a/src/cell/row_cleaner.cpp
+++ b/src/cell/row_cleaner.cpp
@@ -14,12 +14,17 @@
 
 /// Removals in one transaction; the store accepts 100 entries.
 constexpr std::size_t max_removals = 80;
+/// Bounds the work for one transaction when very many jobs wait.
+constexpr std::size_t max_jobs_considered = 1000;
 /// May be short: a removal that fails or ends in doubt is repeated, and a
 /// repeated removal has no effect.
 constexpr milliseconds commit_timeout{1000};
 /// Removal is never urgent; the delay leaves the store's call rate to other
 /// work.
-constexpr milliseconds removal_interval{100};
+constexpr milliseconds removal_interval{250};
+/// While more rows wait than one transaction removes, so that they do not pile
+/// up however fast jobs end.
+constexpr milliseconds backlog_interval{100};
 
 void add_row(std::vector<record_key>& rows, record_key const& row)
 {
@@ -114,7 +119,9 @@
         return;
     }
     this->scheduled = true;
-    this->loop.after(removal_interval,
+    std::size_t waiting = this->pending_jobs.size() + this->unreferenced.size();
+    this->loop.after(
+        waiting > max_removals ? backlog_interval : removal_interval,
         [this, alive = this->alive]
         {
             if (*alive)
@@ -127,31 +134,33 @@
 
 std::vector<row_cleaner::removal> row_cleaner::select_batch() const
 {
-    // The own rows of one job first, then its cancellations; otherwise journal
-    // rows. A transaction changes rows of one part.
-    std::vector<removal> batch;
-    auto add = [&batch](std::string const& job, record_key const& row)
+    // A transaction changes rows of one part: the part with the most rows.
+    std::map<std::string, std::vector<removal>> by_part;
+    std::size_t const considered =
+        std::min(this->pending_jobs.size(), max_jobs_considered);
+    for (std::size_t i = 0; i < considered; ++i)
     {
-        if (batch.size() < max_removals &&
-            (batch.empty() || batch.front().row.part == row.part))
-        {
-            batch.push_back({job, row});
-        }
-    };
-    if (!this->pending_jobs.empty())
-    {
-        std::string const& job = this->pending_jobs.front();
+        std::string const& job = this->pending_jobs[i];
+        // The cancellation only after the removal of the own rows.
         job_rows const& rows = this->rows_by_job.at(job);
         for (record_key const& row : rows.own.empty() ? rows.cancels : rows.own)
         {
-            add(job, row);
+            by_part[row.part].push_back({job, row});
         }
-        return batch;
     }
     for (record_key const& row : this->unreferenced)
     {
-        add({}, row);
+        by_part[row.part].push_back({{}, row});
+    }
+    auto largest = std::max_element(by_part.begin(), by_part.end(),
+        [](auto const& left, auto const& right)
+        { return left.second.size() < right.second.size(); });
+    if (largest == by_part.end())
+    {
+        return {};
     }
+    std::vector<removal> batch = std::move(largest->second);
+    batch.resize(std::min(batch.size(), max_removals));
     return batch;
 }
 
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -285,6 +285,37 @@
     cr_assert(fixture.store.find(journal_row) == nullptr);
 }
 
+// Guards against rows that pile up, and that can be read again, while jobs end
+// faster than rows are removed.
+Test(row_cleaner, rows_are_removed_as_fast_as_jobs_end)
+{
+    constexpr int jobs_per_second = 200;
+    store_fixture fixture;
+    row_cleaner cleaner(fixture.loop, fixture.store);
+    for (int second = 0; second < 10; ++second)
+    {
+        for (int i = 0; i < jobs_per_second; ++i)
+        {
+            std::string const job = std::to_string(second * 1000 + i);
+            // As many instances as on a site have accepted the jobs.
+            record_key const row =
+                tables::job_row_key("node-" + std::to_string(i % 6), job);
+            std::string const journal_key = "1." + job;
+            fixture.store.set(row, "v");
+            fixture.store.set(
+                {tables::journal, tables::scheduler_part, journal_key}, "v");
+            cleaner.note_job_row(job, row);
+            cleaner.note_journal_row(journal_key, {job});
+            cleaner.forget(job);
+        }
+        fixture.pass(milliseconds(1000));
+        cr_assert(cleaner.backlog() < jobs_per_second);
+    }
+    fixture.pass(milliseconds(1000));
+    cr_assert(fixture.store.count(tables::jobs) == 0U);
+    cr_assert(fixture.store.count(tables::journal) == 0U);
+}
+
 // Guards against a process that ends in the cleaner.
 Test(row_cleaner, a_job_that_is_forgotten_twice_is_removed_once)
 {
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1783,7 +1783,7 @@
         cr_assert(fixture.workers.all_starts.size() == std::size_t{jobs});
     }
     fixture.store.on_commit = nullptr;
-    fixture.run_for(30 * second);
+    fixture.run_for(10 * second);
     cr_assert(fixture.store.count(tables::jobs) == 0U);
     cr_assert(fixture.store.count(tables::journal) == 0U);
 }
