--- a/include/toucanlever/cell/record_follower.hpp
+++ b/include/toucanlever/cell/record_follower.hpp
@@ -27,6 +27,9 @@
         std::string part, callback done);
     ~record_scan();
 
+    /// The version of the page that was read last.
+    std::int64_t newest_version() const { return this->last_version; }
+
 private:
     void read(std::string const& from);
     void handle_page(read_result result, std::string const& from);
@@ -39,6 +42,7 @@
     std::vector<record> rows;
     // Version of the first page.
     std::int64_t version = 0;
+    std::int64_t last_version = 0;
     event_loop::timer_id retry_timer = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
@@ -61,7 +65,9 @@
 {
 public:
     /// `complete` is true when `rows` has all rows of the parts to be read,
-    /// false when it holds changes.
+    /// false when it holds changes. Where all parts are read, the rows are
+    /// those of one version of the store: none of them was removed before
+    /// another one was read.
     using callback =
         std::function<void(std::vector<record> const& rows, bool complete)>;
 
@@ -87,8 +93,15 @@
 
 private:
     void read_snapshot();
+    void read_base_version();
+    void list_parts();
     void read_parts(std::vector<std::string> const& parts);
     void add_part_rows(std::vector<record> rows, std::int64_t version);
+    void catch_up();
+    void handle_catch_up(read_result result, time_point requested_at);
+    void apply_to_snapshot(std::vector<record> changes);
+    void deliver_snapshot();
+    void retry(void (record_follower::*step)());
     void request_changes();
     void handle_changes(read_result const& result, time_point requested_at);
     void schedule_follow(milliseconds delay);
@@ -101,6 +114,10 @@
     std::vector<std::unique_ptr<record_scan>> scans;
     std::vector<record> snapshot_rows;
     std::size_t parts_missing = 0;
+    // Version from which changes are applied to `snapshot_rows`; the snapshot
+    // is that of `newest_version` at least.
+    std::int64_t base_version = 0;
+    std::int64_t newest_version = 0;
     time_point scan_started_at{};
     std::int64_t version = 0;
     bool complete = false;
--- a/src/cell/record_follower.cpp
+++ b/src/cell/record_follower.cpp
@@ -4,6 +4,8 @@
 #include "toucanlever/core/log.hpp"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace toucanlever
 {
@@ -60,6 +62,7 @@
     {
         this->version = result.version;
     }
+    this->last_version = result.version;
     std::string last_key =
         result.rows.empty() ? std::string() : result.rows.back().at.key;
     std::copy_if(std::make_move_iterator(result.rows.begin()),
@@ -101,6 +104,38 @@
         this->read_parts(this->options.parts);
         return;
     }
+    this->read_base_version();
+}
+
+void record_follower::retry(void (record_follower::*step)())
+{
+    this->timer = this->loop.after(backoff_delay(1, retry_min, retry_max),
+        [this, step] { (this->*step)(); });
+}
+
+void record_follower::read_base_version()
+{
+    // Before the parts are listed, so that a part that gets its first row after
+    // that is found among the changes. No key sorts after "~".
+    this->store.read(this->options.table, {}, "~", {},
+        [this, alive = this->alive](read_result const& result)
+        {
+            if (!*alive)
+            {
+                return;
+            }
+            if (result.outcome != read_outcome::answered)
+            {
+                this->retry(&record_follower::read_base_version);
+                return;
+            }
+            this->base_version = result.version;
+            this->list_parts();
+        });
+}
+
+void record_follower::list_parts()
+{
     this->store.parts(this->options.table,
         [this, alive = this->alive](
             std::optional<std::vector<std::string>> const& parts)
@@ -114,9 +149,7 @@
                 this->read_parts(*parts);
                 return;
             }
-            this->timer =
-                this->loop.after(backoff_delay(1, retry_min, retry_max),
-                    [this] { this->read_snapshot(); });
+            this->retry(&record_follower::list_parts);
         });
 }
 
@@ -154,13 +187,94 @@
     {
         return;
     }
-    this->fresh_time = this->scan_started_at;
+    if (!this->options.parts.empty())
+    {
+        this->fresh_time = this->scan_started_at;
+        this->deliver_snapshot();
+        return;
+    }
+    // The parts were read one after the other, and each page by page.
+    this->version = this->base_version;
+    this->newest_version = 0;
+    for (auto const& scan : this->scans)
+    {
+        this->newest_version =
+            std::max(this->newest_version, scan->newest_version());
+    }
+    this->catch_up();
+}
+
+void record_follower::catch_up()
+{
+    time_point requested_at = this->loop.now();
+    this->store.changes(this->options.table, this->version, milliseconds(0),
+        [this, requested_at, alive = this->alive](read_result result)
+        {
+            if (*alive)
+            {
+                this->handle_catch_up(std::move(result), requested_at);
+            }
+        });
+}
+
+void record_follower::handle_catch_up(
+    read_result result, time_point requested_at)
+{
+    if (result.outcome == read_outcome::history_lost)
+    {
+        this->retry(&record_follower::read_snapshot);
+        return;
+    }
+    if (result.outcome == read_outcome::failed)
+    {
+        this->retry(&record_follower::catch_up);
+        return;
+    }
+    bool has_changes = !result.rows.empty();
+    this->apply_to_snapshot(std::move(result.rows));
+    this->version = std::max(this->version, result.version);
+    if (has_changes && this->version < this->newest_version)
+    {
+        this->catch_up();
+        return;
+    }
+    this->fresh_time = requested_at;
+    this->deliver_snapshot();
+}
+
+void record_follower::apply_to_snapshot(std::vector<record> changes)
+{
+    std::map<std::pair<std::string, std::string>, record> latest;
+    for (record& change : changes)
+    {
+        std::pair id(change.at.part, change.at.key);
+        latest[std::move(id)] = std::move(change);
+    }
+    if (latest.empty())
+    {
+        return;
+    }
+    std::erase_if(this->snapshot_rows,
+        [&latest](record const& row) {
+            return latest.contains({row.at.part, row.at.key});
+        });
+    for (auto& [id, change] : latest)
+    {
+        if (!change.removed)
+        {
+            this->snapshot_rows.push_back(std::move(change));
+        }
+    }
+}
+
+void record_follower::deliver_snapshot()
+{
     this->complete = true;
     this->scanning = false;
     std::vector<record> snapshot = std::move(this->snapshot_rows);
     this->snapshot_rows.clear();
     // `request_changes` destroys the scans. Call it from the loop, because one
-    // of them is the caller of this function.
+    // of them may be the caller of this function.
     this->schedule_follow(milliseconds(0));
     this->on_rows(snapshot, true);
 }
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -14,6 +14,8 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
+#include <utility>
+
 using namespace toucanlever;
 
 namespace
@@ -353,6 +355,80 @@
     cr_assert_not(cleaner.is_forgotten("a"));
 }
 
+namespace
+{
+
+/// Follows table "t" and collects the keys of its rows.
+class collecting_follower
+{
+public:
+    explicit collecting_follower(store_fixture& fixture)
+        : follower(fixture.loop, fixture.store, {"t", {}, {}, {}},
+              [this](std::vector<record> const& rows, bool complete)
+              {
+                  std::set<std::string>& into =
+                      complete ? this->snapshot : this->changed;
+                  for (record const& row : rows)
+                  {
+                      into.insert(row.at.key);
+                  }
+              })
+    {
+    }
+
+    std::set<std::string> snapshot;
+    std::set<std::string> changed;
+    record_follower follower;
+};
+
+} // namespace
+
+// Guards against a successor that finds a job without its cancellation.
+Test(record_follower, a_snapshot_shows_all_rows_as_of_one_version)
+{
+    store_fixture fixture;
+    fixture.store.page_size = 1;
+    record_key const job{"t", "p", "a"};
+    record_key const cancel{"t", "p", "a.cancel"};
+    fixture.store.set(job, "v");
+    fixture.store.set(cancel, "v");
+    bool removed = false;
+    fixture.store.on_read = [&](std::string const& from)
+    {
+        if (from.starts_with("a") && !std::exchange(removed, true))
+        {
+            auto ignore = [](change_result const&) {};
+            fixture.store.commit({{}, {}, {job}}, milliseconds(0), ignore);
+            fixture.store.commit({{}, {}, {cancel}}, milliseconds(0), ignore);
+        }
+    };
+    collecting_follower collected(fixture);
+    fixture.pass(milliseconds(100));
+    cr_assert(removed);
+    cr_assert(collected.follower.has_snapshot());
+    cr_assert(collected.snapshot.empty());
+}
+
+Test(record_follower, a_part_that_gets_its_first_row_during_a_snapshot_is_read)
+{
+    store_fixture fixture;
+    fixture.store.set({"t", "p", "a"}, "v");
+    bool added = false;
+    fixture.store.on_read = [&](std::string const& from)
+    {
+        // The parts have been listed when the first one is read.
+        if (from.empty() && !std::exchange(added, true))
+        {
+            fixture.store.set({"t", "q", "b"}, "v");
+        }
+    };
+    collecting_follower collected(fixture);
+    fixture.pass(milliseconds(100));
+    std::set<std::string> const expected{"a", "b"};
+    cr_assert(added);
+    cr_assert(collected.snapshot == expected);
+}
+
 Test(record_follower, reads_all_pages_then_follows_and_reads_again_when_lost)
 {
     store_fixture fixture;
--- a/tests/unit/fake_record_store.hpp
+++ b/tests/unit/fake_record_store.hpp
@@ -70,6 +70,10 @@
         std::string const& from, std::string const& until,
         read_callback done) override
     {
+        if (this->on_read)
+        {
+            this->on_read(from);
+        }
         if (this->fails_reads_of(table))
         {
             done({});
@@ -187,6 +191,8 @@
     bool rejecting = false;
     /// Transactions for which it returns false end as not done.
     std::function<bool(record_change const&)> on_commit;
+    /// Called before each read, with the key that it begins with.
+    std::function<void(std::string const& from)> on_read;
     /// Reads of these tables fail.
     std::set<std::string> unreadable_tables;
     /// The next read of changes reports a lost history, once.
