--- a/include/toucanlever/cell/row_cleaner.hpp
+++ b/include/toucanlever/cell/row_cleaner.hpp
@@ -5,10 +5,14 @@
 /// - Within a term, a forgotten job is remembered until its rows are removed
 ///   and the scheduler has read the table of jobs beyond that removal.
 /// - A job's own rows are removed first, its cancellation and its journal rows
-///   only after that removal is confirmed. In the opposite order, a scheduler
-///   that starts in between would take the job for a new one.
+///   only after that removal is confirmed. A successor reads all jobs as of one
+///   version of the store, so it finds no job without its cancellation.
+/// - Removals of journal rows check the leader row, so a scheduler that was
+///   replaced removes none. A successor reads the store only after it has
+///   changed the leader row, so it finds no job without its journal rows.
 #pragma once
 
+#include "toucanlever/cell/completion_journal.hpp"
 #include "toucanlever/cell/record_store.hpp"
 #include "toucanlever/core/event_loop.hpp"
 
@@ -26,7 +30,10 @@
 class row_cleaner
 {
 public:
-    row_cleaner(event_loop& loop, record_store& store);
+    /// `on_replaced` is called when a removal is rejected because the leader
+    /// row has changed. Nothing is removed after that.
+    row_cleaner(event_loop& loop, record_store& store, leader_proof proof,
+        std::function<void()> on_replaced);
     ~row_cleaner();
 
     /// Adds a job's own row, or the row that records its cancellation. No
@@ -85,6 +92,8 @@
 
     event_loop& loop;
     record_store& store;
+    leader_proof proof;
+    std::function<void()> on_replaced;
     std::map<std::string, job_rows> rows_by_job;
     // By journal row: number of jobs not yet removed that have entries in it.
     std::map<std::string, std::size_t> journal_references;
@@ -98,6 +107,7 @@
     std::deque<record_key> unreferenced;
     bool in_flight = false;
     bool scheduled = false;
+    bool replaced = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -25,7 +25,13 @@
           [this] { this->planner.schedule_pass(); },
           [this] { return this->job_follower->fresh_at(); },
           [this] { return this->roster.is_list_current(); }, {}, {}, {}, {}, {}}
-    , cleaner(this->state.dependencies.loop, this->state.dependencies.store)
+    , cleaner(this->state.dependencies.loop, this->state.dependencies.store,
+          proof,
+          [this]
+          {
+              this->state.on_replaced(
+                  "a removal of rows conflicted with a newer leader row");
+          })
     , journal(
           this->state.dependencies.loop, this->state.dependencies.store, proof,
           this->state.dependencies.heartbeat,
--- a/src/cell/row_cleaner.cpp
+++ b/src/cell/row_cleaner.cpp
@@ -2,6 +2,7 @@
 
 #include "cell/cell_tables.hpp"
 
+#include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
 #include <algorithm>
@@ -36,9 +37,12 @@
 
 } // namespace
 
-row_cleaner::row_cleaner(event_loop& loop, record_store& store)
+row_cleaner::row_cleaner(event_loop& loop, record_store& store,
+    leader_proof proof, std::function<void()> on_replaced)
     : loop(loop)
     , store(store)
+    , proof(proof)
+    , on_replaced(std::move(on_replaced))
 {
 }
 
@@ -114,7 +118,7 @@
 
 void row_cleaner::schedule_cleaning()
 {
-    if (this->scheduled || this->in_flight)
+    if (this->scheduled || this->in_flight || this->replaced)
     {
         return;
     }
@@ -174,6 +178,10 @@
         return;
     }
     record_change change;
+    if (batch.front().row.part == tables::scheduler_part)
+    {
+        change.checks = {{tables::leader_row_key(), this->proof.row_version}};
+    }
     for (removal const& each : batch)
     {
         change.removals.push_back(each.row);
@@ -194,6 +202,16 @@
 void row_cleaner::handle_result(
     std::vector<removal> const& batch, change_result const& result)
 {
+    if (result.outcome == change_outcome::conflict)
+    {
+        log_line("row-removal-refused")
+            .with("fence", this->proof.fencing_token)
+            .with("reason",
+                "the leader row has changed; this scheduler removes no rows");
+        this->replaced = true;
+        this->on_replaced();
+        return;
+    }
     if (result.outcome == change_outcome::committed)
     {
         metrics().count(
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -260,7 +260,7 @@
     {
         fixture.store.set(at, "v");
     }
-    row_cleaner cleaner(fixture.loop, fixture.store);
+    row_cleaner cleaner(fixture.loop, fixture.store, leader_proof{}, [] {});
     cleaner.note_job_row("a", job);
     cleaner.note_job_row("a", duplicate);
     cleaner.note_cancel_row("a", cancel);
@@ -293,7 +293,7 @@
 {
     constexpr int jobs_per_second = 200;
     store_fixture fixture;
-    row_cleaner cleaner(fixture.loop, fixture.store);
+    row_cleaner cleaner(fixture.loop, fixture.store, leader_proof{}, [] {});
     for (int second = 0; second < 10; ++second)
     {
         for (int i = 0; i < jobs_per_second; ++i)
@@ -324,7 +324,7 @@
     store_fixture fixture;
     record_key const row = tables::job_row_key("node", "a");
     fixture.store.set(row, "v");
-    row_cleaner cleaner(fixture.loop, fixture.store);
+    row_cleaner cleaner(fixture.loop, fixture.store, leader_proof{}, [] {});
     cleaner.note_job_row("a", row);
     cleaner.forget("a");
     cleaner.forget("a");
@@ -338,7 +338,7 @@
     store_fixture fixture;
     record_key const row = tables::job_row_key("node", "a");
     std::int64_t const stored = fixture.store.set(row, "v");
-    row_cleaner cleaner(fixture.loop, fixture.store);
+    row_cleaner cleaner(fixture.loop, fixture.store, leader_proof{}, [] {});
     cleaner.note_job_row("a", row);
     cleaner.forget("a");
     cr_assert(cleaner.is_forgotten("a"));
@@ -355,6 +355,30 @@
     cr_assert_not(cleaner.is_forgotten("a"));
 }
 
+// Guards against a successor that reads a job's row before it is removed and
+// the journal after it was.
+Test(row_cleaner, a_replaced_scheduler_removes_no_journal_row)
+{
+    store_fixture fixture;
+    std::int64_t const elected =
+        fixture.store.set(tables::leader_row_key(), "holder");
+    record_key const row = tables::job_row_key("node", "a");
+    record_key const journal_row{
+        tables::journal, tables::scheduler_part, "1.1"};
+    fixture.store.set(row, "v");
+    fixture.store.set(journal_row, "v");
+    int replaced = 0;
+    row_cleaner cleaner(fixture.loop, fixture.store, leader_proof{1, elected},
+        [&replaced] { ++replaced; });
+    cleaner.note_job_row("a", row);
+    cleaner.note_journal_row("1.1", {"a"});
+    cleaner.forget("a");
+    fixture.store.set(tables::leader_row_key(), "another");
+    fixture.pass(milliseconds(3000));
+    cr_assert(fixture.store.find(journal_row) != nullptr);
+    cr_assert(replaced == 1);
+}
+
 namespace
 {
 
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1804,6 +1804,39 @@
     cr_assert(fixture.state_of("job-0") == work_state::succeeded);
 }
 
+// Guards against a successor that finds a job, but not that it has ended.
+Test(dispatcher, a_predecessor_that_removes_rows_late_revives_no_job)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    std::int64_t const elected =
+        fixture.store.find(tables::leader_row_key())->version;
+    run_and_forget_jobs(fixture, 1);
+    // The rows of a job that the predecessor is about to remove.
+    fixture.submit("late", 1);
+    fixture.run_for(second);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    std::size_t const starts = fixture.workers.all_starts.size();
+    record_key const row = tables::job_row_key("node", "late");
+    std::optional<record_key> journal_row =
+        fixture.store.first_key(tables::journal);
+    cr_assert(journal_row.has_value());
+    fixture.end_term();
+    row_cleaner predecessor(fixture.loop, fixture.store,
+        leader_proof{fixture.fencing_token, elected}, [] {});
+    predecessor.note_job_row("late", row);
+    predecessor.note_journal_row(journal_row->key, {"late"});
+    predecessor.forget("late");
+    fixture.store.unreadable_tables.insert(tables::journal);
+    fixture.begin_term();
+    fixture.run_for(2 * second);
+    fixture.store.unreadable_tables.clear();
+    fixture.run_for(10 * second);
+    cr_assert(fixture.workers.all_starts.size() == starts);
+    cr_assert(fixture.state_of("late") == work_state::succeeded);
+}
+
 Test(dispatcher, gangs_start_in_time_when_calls_for_advice_are_slow)
 {
     // One instance makes calls of 100 ms and 1.5 ms for each worker named. A
