--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1744,6 +1744,13 @@
 namespace
 {
 
+/// Keeps all rows readable.
+void refuse_removals(cell_fixture& fixture)
+{
+    fixture.store.on_commit = [](record_change const& change)
+    { return change.removals.empty(); };
+}
+
 /// Runs this many jobs to their end, and forgets them.
 void run_and_forget_jobs(cell_fixture& fixture, int count)
 {
@@ -1772,9 +1779,7 @@
     constexpr int jobs = 40;
     cell_fixture fixture;
     fixture.begin_term();
-    // Rows that cannot be removed stay readable.
-    fixture.store.on_commit = [](record_change const& change)
-    { return change.removals.empty(); };
+    refuse_removals(fixture);
     run_and_forget_jobs(fixture, jobs);
     for (int i = 0; i < 3; ++i)
     {
@@ -1793,8 +1798,7 @@
     constexpr int jobs = 40;
     cell_fixture fixture;
     fixture.begin_term();
-    fixture.store.on_commit = [](record_change const& change)
-    { return change.removals.empty(); };
+    refuse_removals(fixture);
     run_and_forget_jobs(fixture, jobs);
     fixture.begin_term();
     fixture.run_for(5 * second);
--- a/tests/unit/trickling_server.hpp
+++ b/tests/unit/trickling_server.hpp
@@ -2,10 +2,11 @@
 /// test says so.
 #pragma once
 
+#include "loopback.hpp"
+
 #include "toucanlever/core/event_loop.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <string>
 #include <sys/socket.h>
@@ -17,18 +18,8 @@
 {
 public:
     trickling_server(std::string const& ip, std::uint16_t port)
-        : listener(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+        : listener(listen_on(ip, port, SOCK_NONBLOCK))
     {
-        sockaddr_in local{};
-        local.sin_family = AF_INET;
-        local.sin_port = htons(port);
-        inet_pton(AF_INET, ip.c_str(), &local.sin_addr);
-        int reuse = 1;
-        ::setsockopt(
-            this->listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-        ::bind(
-            this->listener, reinterpret_cast<sockaddr*>(&local), sizeof local);
-        ::listen(this->listener, 4);
     }
 
     ~trickling_server()
--- a/tests/unit/unreliable_server.hpp
+++ b/tests/unit/unreliable_server.hpp
@@ -3,16 +3,16 @@
 /// that connection. What it does with later connections is up to the test.
 #pragma once
 
+#include "loopback.hpp"
+
 #include "toucanlever/core/event_loop.hpp"
 
-#include <arpa/inet.h>
 #include <atomic>
 #include <cstdlib>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
-#include <vector>
 
 /// How an `unreliable_server` treats connections after the first.
 enum class later_connections
@@ -32,18 +32,8 @@
         later_connections later, int later_status = 503)
         : later(later)
         , later_status(later_status)
-        , listener(::socket(AF_INET, SOCK_STREAM, 0))
+        , listener(listen_on(ip, port))
     {
-        sockaddr_in local{};
-        local.sin_family = AF_INET;
-        local.sin_port = htons(port);
-        inet_pton(AF_INET, ip.c_str(), &local.sin_addr);
-        int reuse = 1;
-        ::setsockopt(
-            this->listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
-        ::bind(
-            this->listener, reinterpret_cast<sockaddr*>(&local), sizeof local);
-        ::listen(this->listener, 4);
         this->thread = std::thread([this] { this->serve(); });
     }
 
