A lost connection alone makes no worker unresponsive

Change: after the first poll that fails sooner than an unresponsive worker's would, the worker is polled again at once. That poll acknowledges nothing and extends no lease, like all polls after one without an answer.

--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -164,11 +164,13 @@
         /// False when an earlier poll with the same token acknowledges
         /// completions and was not answered: it may still be delivered.
         bool is_only_acknowledgement = false;
+        /// How long the worker may delay its reply.
+        milliseconds wait{0};
     };
 
     void poll();
     void handle_report(watch_result const& result, sent_poll const& poll);
-    void handle_failure(watch_result const& result);
+    void handle_failure(watch_result const& result, sent_poll const& poll);
     void schedule_poll(milliseconds delay);
     std::int64_t clock_now() const;
     time_point lease_expiry() const;
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -24,6 +24,9 @@
 
 /// How long a poll waits for a run to complete.
 constexpr milliseconds completion_wait{1500};
+/// A poll that fails sooner than this after its requested wait has lost its
+/// connection; a worker that does not answer takes longer.
+constexpr milliseconds lost_connection_limit{300};
 /// Delay between two polls, in which completions accumulate.
 constexpr milliseconds poll_gap{25};
 /// Delay between two polls while completions are not durable in the store yet.
@@ -130,14 +133,15 @@
     // After a poll without an answer the worker may have restarted.
     order.acknowledged = this->failures == 0 ? this->acknowledged : 0;
     sent_poll sent{this->loop.now(), this->token,
-        this->acknowledging_token != this->token};
+        this->acknowledging_token != this->token, milliseconds(0)};
     if (order.acknowledged > 0)
     {
         this->acknowledging_token = this->token;
     }
     bool wait =
         this->clock_ms >= 0 && this->failures == 0 && this->unsettled.empty();
-    order.wait_ms = wait ? completion_wait.count() : 0;
+    sent.wait = wait ? completion_wait : milliseconds(0);
+    order.wait_ms = sent.wait.count();
     this->orders.watch(this->worker, order,
         [this, sent, alive = this->alive](watch_result const& result)
         {
@@ -182,7 +186,7 @@
     }
     if (result.outcome != order_outcome::done || result.clock_ms < 0)
     {
-        this->handle_failure(result);
+        this->handle_failure(result, poll);
         return;
     }
     this->failures = 0;
@@ -203,9 +207,18 @@
     }
 }
 
-void worker_lease::handle_failure(watch_result const& result)
+void worker_lease::handle_failure(
+    watch_result const& result, sent_poll const& poll)
 {
     ++this->failures;
+    bool lost_connection =
+        this->loop.now() - poll.at < poll.wait + lost_connection_limit;
+    if (this->failures == 1 && lost_connection)
+    {
+        // Says nothing about the worker: a poll on a new connection does.
+        this->schedule_poll(milliseconds(0));
+        return;
+    }
     this->schedule_poll(retry_delay);
     std::string problem = result.problem.empty()
                               ? "the poll failed for an unknown reason, or the "
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -31,6 +31,8 @@
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
     bool silent = false;
+    /// As many watches fail at once and have no effect.
+    int lost_connections = 0;
     /// Watches are answered by another incarnation at its address.
     bool replaced = false;
     /// How many of the next starts are carried out without a reply.
@@ -132,8 +134,9 @@
     {
         fake_cell_worker& worker = this->workers[target.id];
         watch_result result;
-        if (worker.silent)
+        if (worker.silent || worker.lost_connections > 0)
         {
+            worker.lost_connections -= worker.lost_connections > 0 ? 1 : 0;
             done(result);
             return;
         }
--- a/tests/unit/worker_lease.tests.cpp
+++ b/tests/unit/worker_lease.tests.cpp
@@ -170,3 +170,19 @@
     fixture.run_for(second);
     cr_assert(fixture.losses == 2);
 }
+
+// Guards against workers that get no work each time that a connection breaks.
+Test(worker_lease, a_lost_connection_alone_makes_no_worker_unresponsive)
+{
+    lease_fixture fixture;
+    fixture.run_for(second);
+    fixture.worker().lost_connections = 1;
+    int const reports = fixture.reports;
+    fixture.run_for(3 * second);
+    cr_assert(fixture.worker().lost_connections == 0);
+    cr_assert(fixture.unresponsive_polls == 0);
+    cr_assert(fixture.reports > reports);
+    fixture.worker().lost_connections = 2;
+    fixture.run_for(3 * second);
+    cr_assert(fixture.unresponsive_polls == 1);
+}
