A repeatable command is resent, and only success counts after that

A store that closed a connection left a transaction in doubt, and the submissions behind it were refused.

Change: the type of a call has three values. A query may be resent. A command is sent at most once. A repeatable command, which has the same effect when it is carried out twice, is resent; after that any response but a success leaves it in doubt. Orders, transactions, calls for advice and the calls of the older programs are repeatable; polls are not, because they acknowledge, nor are the requests that the gateway passes on.

Why it works: a refusal of a repetition is never passed on as one.

--- a/include/toucanlever/http/client.hpp
+++ b/include/toucanlever/http/client.hpp
@@ -44,6 +44,13 @@
     std::string body;
 };
 
+/// A command that has the same effect when it is carried out twice. It is
+/// resent like a query; after that only a success counts as its response, since
+/// a refusal of the repetition tells nothing about the first request.
+struct http_repeatable_command : http_command
+{
+};
+
 /// The outcome of a query, which may have arrived more than once.
 struct query_result
 {
@@ -63,11 +70,12 @@
 /// Whether a command reached its peer.
 enum class http_delivery
 {
-    /// A complete response was received, to the only request that was sent.
+    /// A complete response was received, which tells what became of the
+    /// command.
     answered,
     /// Nothing was sent: the request certainly did not arrive.
     not_sent,
-    /// The request may have arrived, but no complete response was received.
+    /// The request may have arrived, and no response tells what became of it.
     in_doubt
 };
 
@@ -100,6 +108,7 @@
     /// is destroyed first.
     void send(http_query call, query_callback done);
     void send(http_command call, command_callback done);
+    void send(http_repeatable_command call, command_callback done);
 
 private:
     class impl;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -28,6 +28,9 @@
 enum class resend_policy
 {
     allowed,
+    /// Allowed, but then any response but a success leaves the request in
+    /// doubt.
+    success_only,
     never
 };
 
@@ -40,9 +43,9 @@
     resend_policy resend = resend_policy::never;
     http_client::command_callback done;
     command_result result;
-    // libcurl has begun to send the request at least once.
-    bool sending_begun = false;
-    // libcurl was kept from sending the request again.
+    // How often libcurl has begun to send the request, and whether it was kept
+    // from sending it again.
+    int sendings = 0;
     bool resend_prevented = false;
     curl_slist* headers = nullptr;
     CURL* handle = nullptr;
@@ -99,11 +102,13 @@
 int on_sending(void* into, char*, char*, int, int)
 {
     auto* current = static_cast<transfer*>(into);
-    bool is_repetition = std::exchange(current->sending_begun, true);
-    current->resend_prevented =
-        is_repetition && current->resend == resend_policy::never;
-    return current->resend_prevented ? CURL_PREREQFUNC_ABORT
-                                     : CURL_PREREQFUNC_OK;
+    if (current->sendings > 0 && current->resend == resend_policy::never)
+    {
+        current->resend_prevented = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++current->sendings;
+    return CURL_PREREQFUNC_OK;
 }
 
 void prepare(transfer& current)
@@ -175,6 +180,14 @@
         curl_easy_getinfo(current.handle, CURLINFO_RESPONSE_CODE, &status);
         result.response.status = static_cast<int>(status);
         result.delivery = http_delivery::answered;
+        bool is_unclear = current.resend == resend_policy::success_only &&
+                          current.sendings > 1 && !result.succeeded();
+        if (is_unclear)
+        {
+            result.delivery = http_delivery::in_doubt;
+            result.problem = "status " + std::to_string(status) +
+                             " to a repetition, after a connection was lost";
+        }
         return;
     }
     result.problem = current.resend_prevented
@@ -186,8 +199,20 @@
                           std::to_string(result.response.body.size()) +
                           " bytes of the response";
     }
-    result.delivery = current.sending_begun ? http_delivery::in_doubt
-                                            : http_delivery::not_sent;
+    result.delivery = current.sendings > 0 ? http_delivery::in_doubt
+                                           : http_delivery::not_sent;
+}
+
+std::unique_ptr<transfer> make_transfer(
+    http_command call, http_client::command_callback done, resend_policy resend)
+{
+    auto made = std::make_unique<transfer>();
+    made->method = std::move(call.method);
+    made->body = std::move(call.body);
+    made->call = std::move(call);
+    made->resend = resend;
+    made->done = std::move(done);
+    return made;
 }
 
 query_result to_query_result(command_result result)
@@ -524,13 +549,14 @@
 
 void http_client::send(http_command call, command_callback done)
 {
-    auto added = std::make_unique<transfer>();
-    added->method = std::move(call.method);
-    added->body = std::move(call.body);
-    added->call = std::move(call);
-    added->resend = resend_policy::never;
-    added->done = std::move(done);
-    this->pimpl->send(std::move(added));
+    this->pimpl->send(
+        make_transfer(std::move(call), std::move(done), resend_policy::never));
+}
+
+void http_client::send(http_repeatable_command call, command_callback done)
+{
+    this->pimpl->send(make_transfer(
+        std::move(call), std::move(done), resend_policy::success_only));
 }
 
 } // namespace toucanlever
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -137,7 +137,7 @@
 
 void http_platform::commit(transaction const& work, commit_callback done)
 {
-    http_command call;
+    http_repeatable_command call;
     call.timeout = this->timeout;
     call.url = this->base + "transactions";
     call.body = nlohmann::json{{"checks", work.checks}, {"writes", work.writes},
--- a/src/platform/http_workers.cpp
+++ b/src/platform/http_workers.cpp
@@ -110,7 +110,7 @@
 void http_workers::post(std::string const& url, nlohmann::json const& body,
     milliseconds extra_time, http_client::command_callback done)
 {
-    http_command call;
+    http_repeatable_command call;
     call.url = url;
     call.body = body.dump();
     call.timeout = this->timeout + extra_time;
