A lease has expired only if the leader was not replaced before

Callers could have seen a task run again on a second worker (TWICE).

Cause: a leader sums up the leases that it has granted to an unresponsive worker, and gives the worker's runs up when the last of them has ended. Up to 1.3 s after its last confirmed heartbeat it starts work, but 0.9 s after that a successor may lead, and may have renewed the worker's lease: its polls can get through where the first leader's do not. The run goes on, or its end is acknowledged to the successor, while the first leader starts it elsewhere, on a worker that has not seen the successor's token yet.

Change: an expiry counts once a heartbeat that was sent after it is confirmed. Until then the worker stays unresponsive. Heartbeats are 0.3 s apart.

Evidence: without the condition the new test fails; now it passes.

Why it works: a heartbeat is confirmed only while the leader row is the leader's own. If that holds for one that was sent after the expiry, nobody else has granted a lease before it.

--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -84,7 +84,7 @@
     static constexpr milliseconds longest_lease{10300};
 
     /// No lease is granted beyond `lease_limit`, on which a later scheduler
-    /// relies.
+    /// relies: `lease_after_heartbeat` after the last confirmed heartbeat.
     worker_lease(event_loop& loop, worker_orders& orders, worker_target target,
         order_fences& fences, std::function<time_point()> lease_limit,
         worker_lease_listener& listener);
@@ -174,6 +174,9 @@
     void schedule_poll(milliseconds delay);
     std::int64_t clock_now() const;
     time_point lease_expiry() const;
+    /// True when a heartbeat that was sent at that time or later is confirmed.
+    /// Until then a successor may have renewed the lease.
+    bool was_leader_at(time_point when) const;
 
     event_loop& loop;
     worker_orders& orders;
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -120,6 +120,11 @@
            lease_margin;
 }
 
+bool worker_lease::was_leader_at(time_point when) const
+{
+    return this->lease_limit() - lease_after_heartbeat >= when;
+}
+
 void worker_lease::poll()
 {
     if (this->in_flight)
@@ -224,7 +229,8 @@
                               ? "the poll failed for an unknown reason, or the "
                                 "reply does not contain the worker's clock"
                               : result.problem;
-    if (this->loop.now() < this->lease_expiry())
+    time_point expiry = this->lease_expiry();
+    if (this->loop.now() < expiry || !this->was_leader_at(expiry))
     {
         this->listener.on_unresponsive(*this, problem);
         return;
--- a/tests/unit/worker_lease.tests.cpp
+++ b/tests/unit/worker_lease.tests.cpp
@@ -186,3 +186,19 @@
     fixture.run_for(3 * second);
     cr_assert(fixture.unresponsive_polls == 1);
 }
+
+// Guards against a task that a replaced leader starts again, while the worker
+// still runs it under a lease of the successor.
+Test(worker_lease, a_lease_has_not_expired_before_the_leader_is_confirmed)
+{
+    lease_fixture fixture;
+    fixture.run_for(second);
+    // The last heartbeat is confirmed now.
+    fixture.limit = fixture.loop.now() + worker_lease::lease_after_heartbeat;
+    fixture.worker().silent = true;
+    fixture.run_for(10 * second);
+    cr_assert(fixture.losses == 0);
+    fixture.limit = fixture.loop.now() + worker_lease::lease_after_heartbeat;
+    fixture.run_for(second);
+    cr_assert(fixture.losses == 1);
+}
