--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -25,7 +25,7 @@
 /// How long a poll waits for a run to complete.
 constexpr milliseconds completion_wait{1500};
 /// A poll that fails sooner than this after its requested wait has lost its
-/// connection; a worker that does not answer takes longer.
+/// connection: a worker that does not answer is given 600 ms.
 constexpr milliseconds lost_connection_limit{300};
 /// Delay between two polls, in which completions accumulate.
 constexpr milliseconds poll_gap{25};
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -199,6 +199,7 @@
                           std::to_string(result.response.body.size()) +
                           " bytes of the response";
     }
+    // `on_sending` runs before the first byte, also on a reused connection.
     result.delivery = current.sendings > 0 ? http_delivery::in_doubt
                                            : http_delivery::not_sent;
 }
--- a/tests/unit/cell_store.tests.cpp
+++ b/tests/unit/cell_store.tests.cpp
@@ -382,7 +382,7 @@
 namespace
 {
 
-/// Follows table "t" and collects the keys of its rows.
+/// Follows table "t" and keeps the keys of its snapshot.
 class collecting_follower
 {
 public:
@@ -390,18 +390,18 @@
         : follower(fixture.loop, fixture.store, {"t", {}, {}, {}},
               [this](std::vector<record> const& rows, bool complete)
               {
-                  std::set<std::string>& into =
-                      complete ? this->snapshot : this->changed;
                   for (record const& row : rows)
                   {
-                      into.insert(row.at.key);
+                      if (complete)
+                      {
+                          this->snapshot.insert(row.at.key);
+                      }
                   }
               })
     {
     }
 
     std::set<std::string> snapshot;
-    std::set<std::string> changed;
     record_follower follower;
 };
 
--- a/tests/unit/http_client.tests.cpp
+++ b/tests/unit/http_client.tests.cpp
@@ -1,5 +1,6 @@
-/// What the HTTP client, and the clients of workers and of the store, conclude
-/// when a response is lost and the next request is refused.
+/// What the HTTP client, and the clients of workers, of the store and of the
+/// external placement policy, conclude when a response is lost: the repetition
+/// of the request, if there is one, is refused.
 #include "toucanlever/http/client.hpp"
 
 #include "advice_client.hpp"
--- a/tests/unit/unreliable_server.hpp
+++ b/tests/unit/unreliable_server.hpp
@@ -1,5 +1,5 @@
 /// An HTTP server on loopback that loses responses: it answers the first
-/// request of the first connection, receives the second one there and closes
+/// request of the first connection, receives the second one there and resets
 /// that connection. What it does with later connections is up to the test.
 #pragma once
 
