--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -15,6 +15,7 @@
 #include "toucanlever/cell/worker_orders.hpp"
 #include "toucanlever/core/event_loop.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -110,6 +111,13 @@
         return sent_token < this->token;
     }
 
+    /// The worker's clock in its last reply, in milliseconds; -1 before.
+    std::int64_t reported_clock_ms() const { return this->clock_ms; }
+
+    /// The end of the lease that expired last, in milliseconds of the worker's
+    /// clock at that time; 0 before the first.
+    std::int64_t expired_lease_ms() const { return this->expired_lease; }
+
     /// The end of the lease for an order that is sent now, in milliseconds of
     /// the worker's clock; 0 while that clock is unknown. Recorded as granted.
     std::int64_t grant_lease();
@@ -173,6 +181,11 @@
     void handle_failure(watch_result const& result, sent_poll const& poll);
     void schedule_poll(milliseconds delay);
     std::int64_t clock_now() const;
+    /// In milliseconds of the worker's clock.
+    std::int64_t lease_end() const
+    {
+        return std::max(this->granted_until, this->assumed_until);
+    }
     time_point lease_expiry() const;
     /// True when a heartbeat that was sent at that time or later is confirmed.
     /// Until then a successor may have renewed the lease.
@@ -196,6 +209,8 @@
     // The latest lease end that was granted, in milliseconds of the worker's
     // clock.
     std::int64_t granted_until = 0;
+    // The end of the lease that expired last, by the same clock.
+    std::int64_t expired_lease = 0;
     // The latest lease end that late orders to an earlier incarnation can have
     // given to this one, in milliseconds of the worker's clock.
     std::int64_t assumed_until = 0;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -135,6 +135,9 @@
     std::map<task_id, task_allocation> allocations;
     // At most one for each task, the one of its highest run.
     std::vector<late_start> late_starts;
+    // By task: the runs that were released because the lease had expired, until
+    // the worker has listed what became of them.
+    std::map<task_id, std::uint64_t> given_up;
     // Invariant: the number of allocations whose need is not known.
     std::uint32_t unknown_needs = 0;
     // Invariant: the number of isolated allocations.
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -102,7 +102,7 @@
     /// Releases the allocations on a lost worker, except those that `keeps`
     /// selects.
     void release_lost_allocations(std::string const& id,
-        std::string const& reason,
+        std::string const& reason, loss_cause cause,
         std::function<bool(task_allocation const&)> const& keeps);
     /// Until when the run may start or go on after the lease of its worker has
     /// expired; a time in the past when it has certainly ended. The worker may
@@ -112,6 +112,14 @@
     static time_point may_run_until(task_allocation const& allocation);
     void release_lost_task(std::string const& worker, task_id const& task,
         std::string const& reason);
+    /// The same for a run that may have gone on had its lease not expired.
+    void give_up_task(std::string const& worker, task_id const& task,
+        std::string const& reason);
+    /// Logs what has become of a run if it was given up.
+    /// The scheduler was wrong if the run was still running, or if it succeeded
+    /// and its lease has not expired since by the worker's own clock.
+    void note_given_up_run(worker_lease const& lease, task_id const& task,
+        std::uint64_t run, std::string_view outcome);
     /// Records the crash of a worker for the tasks against which it speaks. The
     /// capacity is free at once, but these tasks wait again only when the crash
     /// is durable, so that every successor counts it. With `starts_may_arrive`,
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -113,8 +113,8 @@
                lease_after_heartbeat * permille / slow_clock_permille +
                lease_margin;
     }
-    std::int64_t until = std::max(this->granted_until, this->assumed_until);
-    std::int64_t remaining = std::max<std::int64_t>(until - this->clock_ms, 0);
+    std::int64_t remaining =
+        std::max<std::int64_t>(this->lease_end() - this->clock_ms, 0);
     return this->clock_read_at +
            milliseconds(remaining * permille / slow_clock_permille) +
            lease_margin;
@@ -238,6 +238,7 @@
     if (!this->lost)
     {
         this->lost = true;
+        this->expired_lease = this->lease_end();
         this->listener.on_lost(*this, loss_cause::lease_expired,
             "its lease has expired; the last poll failed: " + problem);
     }
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -42,6 +42,14 @@
     {
         this->handle_completion(lease, completion);
     }
+    for (running_task const& running : report.running)
+    {
+        this->note_given_up_run(lease, running.task, running.run, "running");
+    }
+    if (report.all_completions)
+    {
+        worker.given_up.clear();
+    }
     this->reconcile(worker, report, asked_at);
     this->drop_runs_of_absent_jobs(worker);
     worker.reconciled = true;
@@ -83,6 +91,8 @@
         .with("worker", id)
         .with("incarnation", worker.incarnation_ms)
         .with("reason", reason)
+        .with("clock_ms", lease.reported_clock_ms())
+        .with("lease_ms", lease.expired_lease_ms())
         .with("holds", worker.allocations.size());
     bool crashed = cause == loss_cause::other_incarnation;
     if (crashed)
@@ -91,7 +101,7 @@
     }
     // A worker with another id at the address carries out no order to this one.
     time_point now = this->state.dependencies.loop.now();
-    this->release_lost_allocations(id, reason,
+    this->release_lost_allocations(id, reason, cause,
         [crashed, now](task_allocation const& allocation)
         { return !crashed && now < may_run_until(allocation); });
     this->forget_unsettled_starts(id);
@@ -146,13 +156,14 @@
         }
     }
     this->release_lost_allocations(lease.target().id, "the worker restarted",
+        loss_cause::other_incarnation,
         [](task_allocation const& allocation)
         { return allocation.may_still_start(); });
     this->orders.bar_late_starts(lease.target().id);
 }
 
 void worker_reports::release_lost_allocations(std::string const& id,
-    std::string const& reason,
+    std::string const& reason, loss_cause cause,
     std::function<bool(task_allocation const&)> const& keeps)
 {
     pool_worker& worker = *this->state.pool.find(id);
@@ -166,7 +177,14 @@
     }
     for (task_id const& task : tasks)
     {
-        this->release_lost_task(id, task, reason);
+        if (cause == loss_cause::lease_expired)
+        {
+            this->give_up_task(id, task, reason);
+        }
+        else
+        {
+            this->release_lost_task(id, task, reason);
+        }
     }
 }
 
@@ -204,6 +222,37 @@
     this->orders.stop_broken_gang(task.step);
 }
 
+void worker_reports::give_up_task(
+    std::string const& worker, task_id const& task, std::string const& reason)
+{
+    pool_worker& holder = *this->state.pool.find(worker);
+    holder.given_up[task] = holder.allocations.at(task).run;
+    this->release_lost_task(worker, task, reason);
+}
+
+void worker_reports::note_given_up_run(worker_lease const& lease,
+    task_id const& task, std::uint64_t run, std::string_view outcome)
+{
+    pool_worker& worker = *this->state.pool.find(lease.target().id);
+    auto given_up = worker.given_up.find(task);
+    if (given_up == worker.given_up.end() || given_up->second != run)
+    {
+        return;
+    }
+    worker.given_up.erase(given_up);
+    registry_task const* entry = this->state.registry.find(task);
+    log_line("given-up-run-listed")
+        .with("task", to_string(task))
+        .with("run", run)
+        .with("worker", worker.entry.id)
+        .with("incarnation", worker.incarnation_ms)
+        .with("outcome", outcome)
+        .with("clock_ms", lease.reported_clock_ms())
+        .with("expired_lease_ms", lease.expired_lease_ms())
+        .with("last_run", entry == nullptr ? 0 : entry->run);
+    metrics().count("given_up_runs_listed");
+}
+
 void worker_reports::sweep()
 {
     this->apply_held_reports();
@@ -264,7 +313,7 @@
         }
         else if (held)
         {
-            this->release_lost_task(start.worker, start.task,
+            this->give_up_task(start.worker, start.task,
                 "its start can no longer be carried out, nor its lease last");
         }
     }
@@ -426,6 +475,8 @@
     {
         this->orders.release_task(id, completion.task);
     }
+    this->note_given_up_run(
+        lease, completion.task, completion.run, name_of(completion.outcome));
     if (this->state.dependencies.log_decisions)
     {
         log_line("run-ended")
