--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -201,6 +201,7 @@
         fake_cell_worker& worker = this->workers.workers[id];
         worker = fake_cell_worker{};
         worker.started_ms = before.started_ms + 1;
+        worker.clock_started_at = this->loop.now();
         worker.delayed_starts = std::move(before.delayed_starts);
         worker.delayed_watches = std::move(before.delayed_watches);
     }
@@ -851,6 +852,34 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a task that is started again while it runs on a boot of its
+// worker that the scheduler has not heard of.
+Test(dispatcher, a_ticket_for_an_unnoticed_incarnation_lets_no_task_run_twice)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(10 * second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.withhold_watches = true;
+    fixture.run_for(2 * second);
+    fixture.restart_before_delayed_calls("w0");
+    // The policy issues the ticket after the restart.
+    fixture.submit(
+        "a", 1, [](work_record& job) { job.queue.advice.required = true; });
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.running.contains(first_task));
+    worker.silent = true;
+    fixture.workers.deliver_delayed_watches("w0");
+    fixture.list_worker("w1");
+    // The lease ends by the clock of the earlier incarnation, so that only the
+    // platform's limit of 10 s bounds it.
+    fixture.run_for(10 * second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.workers.end_run("w0", first_task, run_outcome::lapsed);
+    fixture.run_for(15 * second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 Test(dispatcher, a_durable_completion_settles_none_of_the_next_incarnation)
 {
     cell_fixture fixture(1);
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -30,6 +30,8 @@
     std::int64_t acknowledged = 0;
     std::int64_t last_number = 0;
     std::int64_t started_ms = 1;
+    /// When its clock began to count.
+    time_point clock_started_at{};
     bool silent = false;
     /// As many watches fail at once and have no effect.
     int lost_connections = 0;
@@ -79,7 +81,7 @@
         {
             order_outcome refusal = *worker.refuse_next;
             worker.refuse_next.reset();
-            done({refusal, this->clock(), {}});
+            done({refusal, this->clock_of(worker), {}});
             return;
         }
         if (worker.delay_starts)
@@ -95,7 +97,7 @@
         }
         if (order.fencing_token < worker.fencing_token)
         {
-            done({order_outcome::refused_fenced, this->clock(), {}});
+            done({order_outcome::refused_fenced, this->clock_of(worker), {}});
             return;
         }
         this->apply_start(target.id, order);
@@ -106,7 +108,7 @@
         bool lose_reply = worker.lose_replies > 0;
         worker.lose_replies -= lose_reply ? 1 : 0;
         done({lose_reply ? order_outcome::in_doubt : order_outcome::done,
-            this->clock(), {}});
+            this->clock_of(worker), {}});
     }
 
     void stop(worker_target const& target, stop_order const& order,
@@ -126,7 +128,7 @@
         {
             this->end_run(target.id, order.task, run_outcome::stopped);
         }
-        done({order_outcome::done, this->clock(), {}});
+        done({order_outcome::done, this->clock_of(worker), {}});
     }
 
     void watch(worker_target const& target, watch_order const& order,
@@ -165,7 +167,7 @@
         }
         this->apply_watch(worker, order);
         result.outcome = order_outcome::done;
-        result.clock_ms = this->clock();
+        result.clock_ms = this->clock_of(worker);
         result.started_ms = worker.started_ms;
         result.completions = worker.completions;
         for (auto const& [task, run] : worker.running)
@@ -276,10 +278,10 @@
             { return completion.number <= order.acknowledged; });
     }
 
-    std::int64_t clock() const
+    std::int64_t clock_of(fake_cell_worker const& worker) const
     {
         return std::chrono::duration_cast<milliseconds>(
-            this->loop.now().time_since_epoch())
+            this->loop.now() - worker.clock_started_at)
             .count();
     }
 
--- a/tests/unit/worker_lease.tests.cpp
+++ b/tests/unit/worker_lease.tests.cpp
@@ -103,6 +103,29 @@
     cr_assert(lost.count() < until + 400);
 }
 
+// Guards against a run on a boot that nobody has heard of, whose lease each
+// poll extends to the platform's limit.
+Test(worker_lease, a_poll_after_an_unanswered_one_carries_no_lease)
+{
+    lease_fixture fixture;
+    fixture.run_for(second);
+    fixture.worker().delay_watches = true;
+    fixture.run_for(3 * second);
+    std::vector<delayed_watch> const& watches =
+        fixture.worker().delayed_watches;
+    cr_assert(watches.size() > 2U);
+    cr_assert(watches.front().order.lease_until_ms > 0);
+    for (std::size_t i = 1; i < watches.size(); ++i)
+    {
+        cr_assert(watches[i].order.lease_until_ms == 0);
+    }
+    fixture.worker().delay_watches = false;
+    fixture.run_for(second);
+    auto now = std::chrono::duration_cast<milliseconds>(
+        fixture.loop.now().time_since_epoch());
+    cr_assert(fixture.worker().lease_until_ms > (now + 3 * second).count());
+}
+
 Test(worker_lease, a_worker_that_never_answered_is_lost_after_an_earlier_lease)
 {
     lease_fixture fixture;
