--- a/include/toucanlever/cell/task_orders.hpp
+++ b/include/toucanlever/cell/task_orders.hpp
@@ -59,6 +59,11 @@
     void return_task(std::string const& worker, task_id const& task);
 
 private:
+    /// Notes what the result of a start tells about its lease, and about the
+    /// incarnation of the worker that carried it out.
+    void note_answering_incarnation(task_id const& task, std::uint64_t run,
+        std::string const& worker, sent_grant const& start,
+        order_result const& result);
     /// The result of an order that was sent with this fencing token; one that
     /// was refused because of a later order of this scheduler is `overtaken`.
     order_result attribute_refusal(std::string const& worker,
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -40,6 +40,7 @@
 {
     std::string ticket;
     time_point valid_until{};
+    time_point received_at{};
 };
 
 /// Placement advice received for a step.
--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -5,10 +5,14 @@
 ///
 /// A worker may restart under its id, and calls that were sent to the earlier
 /// incarnation may be carried out by the next one. What keeps the two apart:
-/// a poll acknowledges completions only if the poll before it was answered; a
-/// start carries a higher fencing token than every acknowledging poll that may
-/// still be delivered; and all orders after a restart was noticed carry a
-/// higher token than those before.
+/// a poll acknowledges completions and renews the lease only if the poll before
+/// it was answered; a start carries a higher fencing token than every such poll
+/// that may still be delivered; and all orders after a restart was noticed
+/// carry a higher token than those before.
+///
+/// The next incarnation counts its clock anew, so that the end of a lease in an
+/// order to the earlier one says nothing there: it keeps the longest lease that
+/// the platform allows, from when the order is carried out.
 #pragma once
 
 #include "toucanlever/cell/order_fences.hpp"
@@ -33,7 +37,14 @@
     std::int64_t number = 0;
 };
 
-/// Why all runs on a worker have certainly ended.
+/// An order that carried a lease, as it was sent.
+struct sent_grant
+{
+    time_point at{};
+    std::uint64_t token = 0;
+};
+
+/// Why no run on a worker goes on, unless its next incarnation has started it.
 enum class loss_cause
 {
     /// Its lease has expired; the worker may only be unreachable.
@@ -66,8 +77,8 @@
     virtual void on_unresponsive(
         worker_lease& lease, std::string const& problem) = 0;
 
-    /// All runs on the worker have certainly ended: its lease has expired, or
-    /// the worker has restarted.
+    /// All runs on the incarnation that answered last have certainly ended: its
+    /// lease has expired, or the worker has restarted.
     virtual void on_lost(
         worker_lease& lease, loss_cause cause, std::string const& reason) = 0;
 
@@ -100,8 +111,9 @@
     /// The fencing token for an order other than a start that is sent now.
     std::uint64_t fencing_token() const { return this->token; }
 
-    /// The fencing token for a start that is sent now. No acknowledging poll
-    /// that was sent before is carried out after the start.
+    /// The fencing token for a start that is sent now. No poll that was sent
+    /// before, and that acknowledges completions or renews the lease, is
+    /// carried out after the start.
     std::uint64_t fencing_token_for_start();
 
     /// True for an order that was sent with a lower token than the current
@@ -122,6 +134,26 @@
     /// the worker's clock; 0 while that clock is unknown. Recorded as granted.
     std::int64_t grant_lease();
 
+    /// True when an answer with this clock can only be of the incarnation that
+    /// answered the last poll. `sent_at` is the time of the order.
+    bool is_clock_of_known_incarnation(
+        std::int64_t answered_clock_ms, time_point sent_at) const;
+
+    /// True when the known incarnation has answered a poll that was sent at
+    /// this time or later.
+    bool has_answered_since(time_point when) const
+    {
+        return this->clock_ms >= 0 && this->report_requested_at >= when;
+    }
+
+    /// Records that a start got no reply: it may be carried out late.
+    void note_doubtful_grant(sent_grant const& grant);
+
+    /// Until when the next incarnation of the worker may run what it started at
+    /// `started_at`, at the latest, by an order with this token.
+    time_point next_incarnation_runs_until(
+        time_point started_at, std::uint64_t token) const;
+
     /// Records that the completion with this number was received. It is
     /// acknowledged to the worker once it and all earlier ones are settled.
     completion_receipt note_completion(std::int64_t number);
@@ -169,9 +201,11 @@
     {
         time_point at{};
         std::uint64_t token = 0;
-        /// False when an earlier poll with the same token acknowledges
-        /// completions and was not answered: it may still be delivered.
-        bool is_only_acknowledgement = false;
+        /// It acknowledges completions or renews the lease.
+        bool has_effect = false;
+        /// False when an earlier poll with the same token has such an effect
+        /// and was not answered: it may still be delivered.
+        bool is_only_effective = false;
         /// How long the worker may delay its reply.
         milliseconds wait{0};
     };
@@ -197,15 +231,19 @@
     order_fences& fences;
     // Of the orders that are sent now.
     std::uint64_t token;
-    // Token of the last acknowledging poll that has not been answered and may
-    // be carried out late; 0 for none.
-    std::uint64_t acknowledging_token = 0;
+    // Token of the last poll that acknowledges completions or renews the lease,
+    // has not been answered and may be carried out late; 0 for none.
+    std::uint64_t effective_poll_token = 0;
+    // The last order that carried a lease and got no reply.
+    sent_grant doubtful_grant;
     std::function<time_point()> lease_limit;
     worker_lease_listener& listener;
     time_point created_at;
     // The worker's clock in its last reply; -1 before the first reply.
     std::int64_t clock_ms = -1;
     time_point clock_read_at{};
+    // When the poll with that reply was sent.
+    time_point report_requested_at{};
     // The latest lease end that was granted, in milliseconds of the worker's
     // clock.
     std::int64_t granted_until = 0;
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -63,13 +63,21 @@
     /// Number of orders that got no answer.
     std::uint32_t unanswered_orders = 0;
     bool order_pending = false;
+    /// When the worker last confirmed a start of the run; unset before.
+    time_point start_confirmed_at{};
+    /// The fencing token of the last start order.
+    std::uint64_t start_token = 0;
     /// A report has listed the run, so it has outlived its start.
     bool seen_running = false;
+    /// The incarnation of the worker that answered the last poll has confirmed
+    /// the start or listed the run.
+    bool on_known_incarnation = false;
     /// The worker runs no tasks of other jobs beside it.
     bool isolated = false;
-    /// Its start carried a ticket of the external placement policy. No
-    /// incarnation accepts a ticket that was issued for an earlier one.
-    bool has_ticket = false;
+    /// When the policy's answer with the ticket of its start arrived; unset
+    /// without a ticket. No incarnation accepts a ticket that was issued for an
+    /// earlier one.
+    time_point ticket_received_at{};
     /// For a task of a gang, the number of workers that the gang was allocated
     /// on.
     std::size_t workers_of_gang = 1;
@@ -87,6 +95,8 @@
                (this->phase == allocation_phase::running && this->confirmed);
     }
 
+    bool has_ticket() const { return this->ticket_received_at != time_point{}; }
+
     /// True when an unconfirmed start may still be executed by the worker.
     bool may_still_start() const
     {
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -106,10 +106,9 @@
         std::function<bool(task_allocation const&)> const& keeps);
     /// Until when the run may start or go on after the lease of its worker has
     /// expired; a time in the past when it has certainly ended. The worker may
-    /// have restarted unnoticed since its last report. A lease that a start
-    /// gives to the next incarnation ends by the clock of the earlier one, so
-    /// that only the platform's limit bounds it.
-    static time_point may_run_until(task_allocation const& allocation);
+    /// have restarted unnoticed since its last report.
+    static time_point may_run_until(
+        worker_lease const& lease, task_allocation const& allocation);
     void release_lost_task(std::string const& worker, task_id const& task,
         std::string const& reason);
     /// The same for a run that may have gone on had its lease not expired.
--- a/src/cell/reserved_task_starter.cpp
+++ b/src/cell/reserved_task_starter.cpp
@@ -99,7 +99,7 @@
     for (advice_ticket const& ticket : result.tickets)
     {
         step->advice.approved[ticket.worker] = {
-            ticket.ticket, now + milliseconds(result.valid_ms)};
+            ticket.ticket, now + milliseconds(result.valid_ms), now};
     }
     metrics().count("advice_workers_approved",
         static_cast<std::int64_t>(result.tickets.size()));
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -6,6 +6,19 @@
 namespace toucanlever
 {
 
+namespace
+{
+
+/// A superseded run counts as confirmed: its allocation is released once the
+/// worker reports its completion or no longer lists its task.
+bool is_confirmation(order_outcome outcome)
+{
+    return outcome == order_outcome::done ||
+           outcome == order_outcome::refused_superseded;
+}
+
+} // namespace
+
 task_orders::task_orders(dispatch_state& state, worker_roster& roster)
     : state(state)
     , roster(roster)
@@ -124,12 +137,13 @@
     order.payload = job.record.payload;
     order.lease_until_ms = lease.grant_lease();
     order.fencing_token = lease.fencing_token_for_start();
+    allocation->start_token = order.fencing_token;
     order.checkpoint = task.checkpoint;
     auto ticket = step.advice.approved.find(worker);
     if (ticket != step.advice.approved.end())
     {
         order.ticket = ticket->second.ticket;
-        allocation->has_ticket = true;
+        allocation->ticket_received_at = ticket->second.received_at;
         ++this->state.advice.starts;
         metrics().count("advice_starts");
     }
@@ -151,16 +165,38 @@
     metrics().count("starts_sent");
     this->state.dependencies.orders.start(lease.target(), order,
         [this, id, run = order.run, worker, token = order.fencing_token,
+            sent_at = allocation->start_sent_at,
             alive = this->alive](order_result const& result)
         {
             if (*alive)
             {
+                this->note_answering_incarnation(
+                    id, run, worker, {sent_at, token}, result);
                 this->on_start_result(id, run, worker,
                     this->attribute_refusal(worker, token, result));
             }
         });
 }
 
+void task_orders::note_answering_incarnation(task_id const& task,
+    std::uint64_t run, std::string const& worker, sent_grant const& start,
+    order_result const& result)
+{
+    worker_lease* lease = this->roster.find_lease(worker);
+    task_allocation* allocation = this->find_allocation(worker, task, run);
+    if (lease != nullptr && result.outcome == order_outcome::in_doubt)
+    {
+        lease->note_doubtful_grant(start);
+    }
+    if (lease != nullptr && allocation != nullptr &&
+        is_confirmation(result.outcome))
+    {
+        allocation->start_confirmed_at = this->state.dependencies.loop.now();
+        allocation->on_known_incarnation |=
+            lease->is_clock_of_known_incarnation(result.clock_ms, start.at);
+    }
+}
+
 order_result task_orders::attribute_refusal(std::string const& worker,
     std::uint64_t sent_token, order_result result) const
 {
@@ -189,11 +225,7 @@
             result.outcome == order_outcome::in_doubt ? 1 : 0;
         return;
     }
-    // A superseded run counts as confirmed: its allocation is released once the
-    // worker reports its completion or no longer lists its task.
-    bool confirmed = result.outcome == order_outcome::done ||
-                     result.outcome == order_outcome::refused_superseded;
-    if (!confirmed)
+    if (!is_confirmation(result.outcome))
     {
         this->on_start_unconfirmed(task, run, worker, result);
         return;
@@ -321,8 +353,7 @@
             "a worker refused an order: it has seen a higher fencing token");
         return;
     }
-    if (result.outcome == order_outcome::done ||
-        result.outcome == order_outcome::refused_superseded)
+    if (is_confirmation(result.outcome))
     {
         allocation->confirmed = true;
         allocation->confirmed_at = this->state.dependencies.loop.now();
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -76,13 +76,49 @@
 
 std::uint64_t worker_lease::fencing_token_for_start()
 {
-    if (this->acknowledging_token == this->token)
+    if (this->effective_poll_token == this->token)
     {
         this->token = this->fences.raise();
     }
     return this->token;
 }
 
+bool worker_lease::is_clock_of_known_incarnation(
+    std::int64_t answered_clock_ms, time_point sent_at) const
+{
+    if (this->clock_ms < 0 || answered_clock_ms < 0)
+    {
+        return false;
+    }
+    time_point const now = this->loop.now();
+    milliseconds const age =
+        lease_margin + std::chrono::ceil<milliseconds>(
+                           now - std::min(this->report_requested_at, sent_at));
+    bool const is_consistent =
+        std::abs(answered_clock_ms - this->clock_ms) <= age.count();
+    // A later incarnation has counted no longer than this.
+    return is_consistent && answered_clock_ms > age.count();
+}
+
+void worker_lease::note_doubtful_grant(sent_grant const& grant)
+{
+    this->doubtful_grant.at = std::max(this->doubtful_grant.at, grant.at);
+    this->doubtful_grant.token =
+        std::max(this->doubtful_grant.token, grant.token);
+}
+
+time_point worker_lease::next_incarnation_runs_until(
+    time_point started_at, std::uint64_t token) const
+{
+    time_point last_renewal = started_at;
+    if (this->doubtful_grant.token >= token)
+    {
+        last_renewal =
+            std::max(last_renewal, this->doubtful_grant.at + max_order_delay);
+    }
+    return last_renewal + longest_lease;
+}
+
 std::int64_t worker_lease::grant_lease()
 {
     if (this->clock_ms < 0)
@@ -134,14 +170,20 @@
     this->in_flight = true;
     watch_order order;
     order.fencing_token = this->token;
-    order.lease_until_ms = this->grant_lease();
-    // After a poll without an answer the worker may have restarted.
-    order.acknowledged = this->failures == 0 ? this->acknowledged : 0;
+    // After a poll without an answer the worker may have restarted: nothing is
+    // acknowledged to the next incarnation, nor is its lease renewed by the
+    // clock of the earlier one.
+    if (this->failures == 0)
+    {
+        order.lease_until_ms = this->grant_lease();
+        order.acknowledged = this->acknowledged;
+    }
     sent_poll sent{this->loop.now(), this->token,
-        this->acknowledging_token != this->token, milliseconds(0)};
-    if (order.acknowledged > 0)
+        order.lease_until_ms > 0 || order.acknowledged > 0,
+        this->effective_poll_token != this->token, milliseconds(0)};
+    if (sent.has_effect)
     {
-        this->acknowledging_token = this->token;
+        this->effective_poll_token = this->token;
     }
     bool wait =
         this->clock_ms >= 0 && this->failures == 0 && this->unsettled.empty();
@@ -162,10 +204,14 @@
     watch_result const& result, sent_poll const& poll)
 {
     bool is_answered = result.outcome != order_outcome::in_doubt;
-    if (is_answered && poll.is_only_acknowledgement &&
-        this->acknowledging_token == poll.token)
+    if (is_answered && poll.is_only_effective &&
+        this->effective_poll_token == poll.token)
+    {
+        this->effective_poll_token = 0;
+    }
+    if (!is_answered && poll.has_effect)
     {
-        this->acknowledging_token = 0;
+        this->note_doubtful_grant({poll.at, poll.token});
     }
     if (result.outcome == order_outcome::refused_fenced)
     {
@@ -198,6 +244,7 @@
     this->lost = false;
     this->clock_ms = result.clock_ms;
     this->clock_read_at = this->loop.now();
+    this->report_requested_at = poll.at;
     if (this->assumption_token > 0 && poll.token >= this->assumption_token)
     {
         this->assumed_until = this->clock_ms + max_lease.count();
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -102,13 +102,13 @@
     // A worker with another id at the address carries out no order to this one.
     time_point now = this->state.dependencies.loop.now();
     this->release_lost_allocations(id, reason, cause,
-        [crashed, now](task_allocation const& allocation)
-        { return !crashed && now < may_run_until(allocation); });
+        [crashed, now, &lease](task_allocation const& allocation)
+        { return !crashed && now < may_run_until(lease, allocation); });
     this->forget_unsettled_starts(id);
     for (auto const& [task, allocation] : worker.allocations)
     {
         this->unsettled_starts.push_back(
-            {id, task, allocation.run, may_run_until(allocation)});
+            {id, task, allocation.run, may_run_until(lease, allocation)});
     }
     lease.reset_incarnation();
     this->roster.note_reconciled(id);
@@ -150,6 +150,7 @@
     for (auto& [task, allocation] :
         this->state.pool.find(lease.target().id)->allocations)
     {
+        allocation.on_known_incarnation = false;
         if (allocation.may_still_start())
         {
             this->orders.send_stop(lease.target().id, task);
@@ -188,23 +189,30 @@
     }
 }
 
-time_point worker_reports::may_run_until(task_allocation const& allocation)
+time_point worker_reports::may_run_until(
+    worker_lease const& lease, task_allocation const& allocation)
 {
     time_point latest_start{};
     if (allocation.may_still_start())
     {
         latest_start = allocation.start_sent_at + max_order_delay;
     }
-    else if (allocation.phase == allocation_phase::running &&
-             !allocation.seen_running)
+    else if (!allocation.on_known_incarnation)
     {
-        latest_start = allocation.confirmed_at;
+        latest_start = allocation.start_confirmed_at;
     }
-    bool may_be_next_incarnation = latest_start != time_point{} &&
-                                   !allocation.seen_running &&
-                                   !allocation.has_ticket;
-    return may_be_next_incarnation ? latest_start + worker_lease::longest_lease
-                                   : latest_start;
+    // The next incarnation accepts no ticket that was issued while an earlier
+    // one was up.
+    bool is_barred_from_next =
+        allocation.has_ticket() &&
+        (allocation.on_known_incarnation ||
+            lease.has_answered_since(allocation.ticket_received_at));
+    if (latest_start == time_point{} || is_barred_from_next)
+    {
+        return latest_start;
+    }
+    return lease.next_incarnation_runs_until(
+        latest_start, allocation.start_token);
 }
 
 void worker_reports::release_lost_task(
@@ -617,8 +625,9 @@
             this->adopt_run(worker, running);
             continue;
         }
-        allocation->second.seen_running |=
-            allocation->second.run == running.run;
+        bool is_same_run = allocation->second.run == running.run;
+        allocation->second.seen_running |= is_same_run;
+        allocation->second.on_known_incarnation |= is_same_run;
         if (allocation->second.phase == allocation_phase::starting &&
             allocation->second.run == running.run)
         {
@@ -681,6 +690,7 @@
     allocation.confirmed = true;
     allocation.confirmed_at = this->state.dependencies.loop.now();
     allocation.seen_running = true;
+    allocation.on_known_incarnation = true;
     allocation.need_known = !held;
     this->state.pool.allocate(worker, running.task, allocation, true);
     if (!held || worker.reconciled)
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -880,6 +880,28 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a task that waits for the longest lease although its run is
+// known to be on the incarnation whose lease has expired.
+Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(10 * second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.withhold_watches = true;
+    fixture.submit("a", 1);
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.running.contains(first_task));
+    worker.silent = true;
+    fixture.workers.deliver_delayed_watches("w0");
+    fixture.list_worker("w1");
+    fixture.run_for(4 * second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.workers.end_run("w0", first_task, run_outcome::lapsed);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 Test(dispatcher, a_durable_completion_settles_none_of_the_next_incarnation)
 {
     cell_fixture fixture(1);
