--- a/include/toucanlever/core/clock.hpp
+++ b/include/toucanlever/core/clock.hpp
@@ -26,7 +26,8 @@
     virtual time_point now() const = 0;
 };
 
-/// The operating system's steady clock.
+/// The operating system's steady clock. It counts the time in which the machine
+/// is suspended: leases and time-outs of other processes go on meanwhile.
 class steady_clock final : public clock
 {
 public:
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,12 +1,17 @@
 #include "toucanlever/core/clock.hpp"
 
+#include <ctime>
+
 namespace toucanlever
 {
 
 time_point steady_clock::now() const
 {
-    return std::chrono::time_point_cast<microseconds>(
-        std::chrono::steady_clock::now());
+    timespec read{};
+    ::clock_gettime(CLOCK_BOOTTIME, &read);
+    return time_point(std::chrono::duration_cast<microseconds>(
+        std::chrono::seconds(read.tv_sec) +
+        std::chrono::nanoseconds(read.tv_nsec)));
 }
 
 std::int64_t wall_time_ms()
