--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -32,6 +32,9 @@
     /// or the occurrence of it, was known.
     void on_job_known(std::string const& job);
 
+    /// Applies what was reported of occurrences that have been created.
+    void apply_held_reports();
+
     /// Applies what was reported of occurrences that have become due. Releases
     /// tasks of lost workers whose start can no longer be carried out.
     void sweep();
@@ -59,8 +62,8 @@
 
     /// Releases the allocations of the worker's previous incarnation, except
     /// those whose start may still reach the new one: these runs are stopped.
-    void handle_restart(worker_lease& lease, watch_result const& report);
-    void apply_held_reports();
+    void handle_restart(
+        worker_lease& lease, watch_result const& report, time_point asked_at);
     void release_unsettled_starts();
     void forget_unsettled_starts(std::string const& worker);
     void handle_completion(
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -179,11 +179,17 @@
 void dispatcher::add_job(work_record record, std::int64_t version)
 {
     std::string id = record.id;
+    bool creates_occurrences = record.repetitions > 0;
     if (this->state.registry.add(std::move(record), version, wall_time_ms(),
             this->state.dependencies.loop.now()))
     {
         metrics().count("jobs_accepted");
         this->reports.on_job_known(id);
+        if (creates_occurrences)
+        {
+            // Also due ones of other jobs.
+            this->reports.apply_held_reports();
+        }
         if (this->pending_cancellations.erase(id) > 0)
         {
             this->cancel(id);
