--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -119,8 +119,8 @@
 {
     worker_entry entry;
     resources free;
-    /// It has answered under the current fencing token, so `allocations` is
-    /// exact.
+    /// It has listed all its runs and completions under the current fencing
+    /// token, so `allocations` is exact.
     bool reconciled = false;
     /// Calls to it currently fail.
     bool silent = false;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -52,8 +52,11 @@
     }
     this->reconcile(worker, report, asked_at);
     this->drop_runs_of_absent_jobs(worker);
-    worker.reconciled = true;
-    this->roster.note_reconciled(id);
+    if (report.all_completions)
+    {
+        worker.reconciled = true;
+        this->roster.note_reconciled(id);
+    }
     this->state.on_work_changed();
 }
 
