--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -154,6 +154,10 @@
     time_point next_incarnation_runs_until(
         time_point started_at, std::uint64_t token) const;
 
+    /// True when a heartbeat that was sent at that time or later is confirmed.
+    /// Until then a successor may have renewed the lease.
+    bool was_leader_at(time_point when) const;
+
     /// Records that the completion with this number was received. It is
     /// acknowledged to the worker once it and all earlier ones are settled.
     completion_receipt note_completion(std::int64_t number);
@@ -221,10 +225,6 @@
         return std::max(this->granted_until, this->assumed_until);
     }
     time_point lease_expiry() const;
-    /// True when a heartbeat that was sent at that time or later is confirmed.
-    /// Until then a successor may have renewed the lease.
-    bool was_leader_at(time_point when) const;
-
     event_loop& loop;
     worker_orders& orders;
     worker_target worker;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -318,11 +318,19 @@
         bool held = worker != nullptr && worker->silent &&
                     this->orders.find_allocation(
                         start.worker, start.task, start.run) != nullptr;
-        if (held && now < start.until)
+        if (!held)
+        {
+            continue;
+        }
+        // A successor may have heard the worker and renewed its lease.
+        bool is_over =
+            now >= start.until &&
+            this->roster.lease(start.worker).was_leader_at(start.until);
+        if (!is_over)
         {
             this->unsettled_starts.push_back(start);
         }
-        else if (held)
+        else
         {
             this->give_up_task(start.worker, start.task,
                 "its start can no longer be carried out, nor its lease last");
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -112,7 +112,7 @@
                            : std::optional(unpack<worker_entry>(value, "test"));
             },
             [this] { return this->may_start; }, milliseconds(1300),
-            this->heartbeat, [] { return time_point::max(); },
+            this->heartbeat, [this] { return this->lease_limit; },
             milliseconds(60000), false};
         this->term = std::make_unique<dispatcher>(std::move(parts),
             leader_proof{this->fencing_token, version},
@@ -247,6 +247,7 @@
     queue_directory queues;
     no_heartbeat heartbeat;
     bool may_start = true;
+    time_point lease_limit = time_point::max();
     int replaced = 0;
     std::uint64_t fencing_token = 0;
     std::mt19937 random{1};
@@ -961,6 +962,28 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a replaced leader that starts a task again, while its worker
+// runs it under a lease of the successor.
+Test(dispatcher, an_unanswered_start_is_given_up_only_by_a_confirmed_leader)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.workers.workers["w0"].delay_starts = true;
+    fixture.submit("a", 1);
+    fixture.run_for(milliseconds(50));
+    fixture.workers.workers["w0"].silent = true;
+    fixture.list_worker("w1");
+    fixture.run_for(9 * second);
+    // The last heartbeat is confirmed now.
+    fixture.lease_limit =
+        fixture.loop.now() + worker_lease::lease_after_heartbeat;
+    fixture.run_for(17 * second);
+    cr_assert(fixture.starts_of(first_task) == 0U);
+    fixture.lease_limit = time_point::max();
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 // Guards against a task that waits for the longest lease although its run is
 // known to be on the incarnation whose lease has expired.
 Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
