--- a/include/toucanlever/cell/worker_roster.hpp
+++ b/include/toucanlever/cell/worker_roster.hpp
@@ -57,6 +57,14 @@
     bool is_reconciled() const { return this->unreconciled.empty(); }
     std::size_t unreconciled_count() const { return this->unreconciled.size(); }
 
+    /// True while a worker that an earlier scheduler may have used has not
+    /// answered.
+    bool is_unheard(std::string const& worker) const
+    {
+        return this->unreconciled.contains(worker) ||
+               this->unheard_jobs.contains(worker);
+    }
+
     /// True while a worker that has not answered may have runs of the job by
     /// its closed record.
     bool may_have_runs(std::string const& job) const;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -26,7 +26,12 @@
     if (worker.incarnation_ms != 0 && report.started_ms != 0 &&
         worker.incarnation_ms != report.started_ms)
     {
-        this->handle_restart(lease, report);
+        this->handle_restart(lease, report, asked_at);
+    }
+    else if (this->roster.is_unheard(id))
+    {
+        // It may have restarted since the earlier scheduler heard it, too.
+        lease.assume_earlier_grants();
     }
     if (report.started_ms != 0)
     {
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -984,6 +984,24 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a successor that counts a lease by its own grants only, while
+// a late poll of its predecessor has given the worker a longer one.
+Test(dispatcher, a_lease_that_a_predecessor_may_have_given_is_waited_for)
+{
+    cell_fixture fixture(1);
+    fixture.run_one_task();
+    fixture.begin_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    cr_assert(worker.running.contains(first_task));
+    worker.silent = true;
+    fixture.list_worker("w1");
+    fixture.run_for(9 * second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+    fixture.workers.end_run("w0", first_task, run_outcome::lapsed);
+    fixture.run_for(3 * second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 // Guards against a task that waits for the longest lease although its run is
 // known to be on the incarnation whose lease has expired.
 Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
