--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -130,7 +130,7 @@
 }
 
 void worker_reports::handle_restart(
-    worker_lease& lease, watch_result const& report)
+    worker_lease& lease, watch_result const& report, time_point asked_at)
 {
     log_line("worker-restarted")
         .with("worker", lease.target().id)
@@ -149,14 +149,25 @@
     {
         started_since.emplace(completion.task, completion.run);
     }
+    // The next incarnation may have confirmed a start after it had answered the
+    // poll.
+    auto is_newer_than_report = [asked_at](task_allocation const& allocation)
+    { return allocation.start_confirmed_at >= asked_at; };
+    pool_worker& worker = *this->state.pool.find(lease.target().id);
+    for (auto const& [task, allocation] : worker.allocations)
+    {
+        if (is_newer_than_report(allocation))
+        {
+            started_since.emplace(task, allocation.run);
+        }
+    }
     this->record_crash(lease.target().id, true, started_since);
     // Until it sees the raised fencing token, the new incarnation carries out
     // orders that were sent to the old one and are still in flight.
     lease.assume_earlier_grants();
     // Its first report may list what an earlier scheduler started.
-    this->state.pool.find(lease.target().id)->reconciled = false;
-    for (auto& [task, allocation] :
-        this->state.pool.find(lease.target().id)->allocations)
+    worker.reconciled = false;
+    for (auto& [task, allocation] : worker.allocations)
     {
         allocation.on_known_incarnation = false;
         if (allocation.may_still_start())
@@ -166,8 +177,10 @@
     }
     this->release_lost_allocations(lease.target().id, "the worker restarted",
         loss_cause::other_incarnation,
-        [](task_allocation const& allocation)
-        { return allocation.may_still_start(); });
+        [&is_newer_than_report](task_allocation const& allocation) {
+            return allocation.may_still_start() ||
+                   is_newer_than_report(allocation);
+        });
     this->orders.bar_late_starts(lease.target().id);
 }
 
