--- a/include/toucanlever/cell/task_orders.hpp
+++ b/include/toucanlever/cell/task_orders.hpp
@@ -59,11 +59,20 @@
     void return_task(std::string const& worker, task_id const& task);
 
 private:
+    /// A start order as it was sent.
+    struct sent_start
+    {
+        task_id task;
+        std::uint64_t run = 0;
+        std::string worker;
+        std::uint64_t token = 0;
+        time_point at{};
+    };
+
     /// Notes what the result of a start tells about its lease, and about the
     /// incarnation of the worker that carried it out.
-    void note_answering_incarnation(task_id const& task, std::uint64_t run,
-        std::string const& worker, sent_grant const& start,
-        order_result const& result);
+    void note_answering_incarnation(
+        sent_start const& start, order_result const& result);
     /// The result of an order that was sent with this fencing token; one that
     /// was refused because of a later order of this scheduler is `overtaken`.
     order_result attribute_refusal(std::string const& worker,
--- a/include/toucanlever/cell/worker_lease.hpp
+++ b/include/toucanlever/cell/worker_lease.hpp
@@ -37,13 +37,6 @@
     std::int64_t number = 0;
 };
 
-/// An order that carried a lease, as it was sent.
-struct sent_grant
-{
-    time_point at{};
-    std::uint64_t token = 0;
-};
-
 /// Why no run on a worker goes on, unless its next incarnation has started it.
 enum class loss_cause
 {
@@ -139,6 +132,11 @@
     bool is_clock_of_known_incarnation(
         std::int64_t answered_clock_ms, time_point sent_at) const;
 
+    /// Notes the clock in the answer to an order that was sent at `sent_at`.
+    /// One that has begun anew shows that the worker has restarted: polls have
+    /// no effect until the next report.
+    void note_clock(std::int64_t answered_clock_ms, time_point sent_at);
+
     /// True when the known incarnation has answered a poll that was sent at
     /// this time or later.
     bool has_answered_since(time_point when) const
@@ -146,14 +144,22 @@
         return this->clock_ms >= 0 && this->report_requested_at >= when;
     }
 
-    /// Records that a start got no reply: it may be carried out late.
-    void note_doubtful_grant(sent_grant const& grant);
+    /// Records that the next incarnation of the worker may carry out an order
+    /// with a lease and this token until `latest`.
+    void note_unproven_grant(time_point latest, std::uint64_t token);
 
     /// Until when the next incarnation of the worker may run what it started at
     /// `started_at`, at the latest, by an order with this token.
     time_point next_incarnation_runs_until(
         time_point started_at, std::uint64_t token) const;
 
+    /// True for a start with this token that names the clock of an earlier
+    /// incarnation than the known one.
+    bool precedes_known_incarnation(std::uint64_t start_token) const
+    {
+        return start_token < this->first_token;
+    }
+
     /// True when a heartbeat that was sent at that time or later is confirmed.
     /// Until then a successor may have renewed the lease.
     bool was_leader_at(time_point when) const;
@@ -219,23 +225,33 @@
     void handle_failure(watch_result const& result, sent_poll const& poll);
     void schedule_poll(milliseconds delay);
     std::int64_t clock_now() const;
+    /// Until when orders with this token or a higher one may renew the lease of
+    /// an incarnation that has not been noticed; in the past if there are none.
+    time_point unproven_until(std::uint64_t token) const;
+    /// Time since the last reported clock, or since an order that was sent
+    /// before, with a margin.
+    milliseconds age_of_clock(time_point sent_at) const;
     /// In milliseconds of the worker's clock.
     std::int64_t lease_end() const
     {
         return std::max(this->granted_until, this->assumed_until);
     }
     time_point lease_expiry() const;
+
     event_loop& loop;
     worker_orders& orders;
     worker_target worker;
     order_fences& fences;
     // Of the orders that are sent now.
     std::uint64_t token;
+    // The token since the known incarnation was noticed, or the lease expired.
+    std::uint64_t first_token;
     // Token of the last poll that acknowledges completions or renews the lease,
     // has not been answered and may be carried out late; 0 for none.
     std::uint64_t effective_poll_token = 0;
-    // The last order that carried a lease and got no reply.
-    sent_grant doubtful_grant;
+    // By token: until when an order with a lease may be carried out by an
+    // incarnation that has not been noticed.
+    std::map<std::uint64_t, time_point> unproven_grants;
     std::function<time_point()> lease_limit;
     worker_lease_listener& listener;
     time_point created_at;
@@ -267,6 +283,9 @@
     std::map<std::int64_t, bool> unsettled;
     // Failed polls since the last report.
     int failures = 0;
+    // The last poll was answered with a report, so that the worker has not
+    // restarted before it.
+    bool reported = false;
     bool in_flight = false;
     bool lost = false;
     event_loop::timer_id poll_timer = 0;
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -17,6 +17,13 @@
            outcome == order_outcome::refused_superseded;
 }
 
+/// The worker takes the lease also from a start that it refuses like this.
+bool renews_lease(order_outcome outcome)
+{
+    return is_confirmation(outcome) ||
+           outcome == order_outcome::refused_no_capacity;
+}
+
 } // namespace
 
 task_orders::task_orders(dispatch_state& state, worker_roster& roster)
@@ -164,36 +171,44 @@
     }
     metrics().count("starts_sent");
     this->state.dependencies.orders.start(lease.target(), order,
-        [this, id, run = order.run, worker, token = order.fencing_token,
-            sent_at = allocation->start_sent_at,
+        [this,
+            start = sent_start{id, order.run, worker, order.fencing_token,
+                allocation->start_sent_at},
             alive = this->alive](order_result const& result)
         {
             if (*alive)
             {
-                this->note_answering_incarnation(
-                    id, run, worker, {sent_at, token}, result);
-                this->on_start_result(id, run, worker,
-                    this->attribute_refusal(worker, token, result));
+                this->note_answering_incarnation(start, result);
+                this->on_start_result(start.task, start.run, start.worker,
+                    this->attribute_refusal(start.worker, start.token, result));
             }
         });
 }
 
-void task_orders::note_answering_incarnation(task_id const& task,
-    std::uint64_t run, std::string const& worker, sent_grant const& start,
-    order_result const& result)
+void task_orders::note_answering_incarnation(
+    sent_start const& start, order_result const& result)
 {
-    worker_lease* lease = this->roster.find_lease(worker);
-    task_allocation* allocation = this->find_allocation(worker, task, run);
-    if (lease != nullptr && result.outcome == order_outcome::in_doubt)
+    worker_lease* lease = this->roster.find_lease(start.worker);
+    if (lease == nullptr)
+    {
+        return;
+    }
+    lease->note_clock(result.clock_ms, start.at);
+    time_point const now = this->state.dependencies.loop.now();
+    bool is_known =
+        lease->is_clock_of_known_incarnation(result.clock_ms, start.at);
+    bool is_in_doubt = result.outcome == order_outcome::in_doubt;
+    if (is_in_doubt || (renews_lease(result.outcome) && !is_known))
     {
-        lease->note_doubtful_grant(start);
+        lease->note_unproven_grant(
+            is_in_doubt ? start.at + max_order_delay : now, start.token);
     }
-    if (lease != nullptr && allocation != nullptr &&
-        is_confirmation(result.outcome))
+    task_allocation* allocation =
+        this->find_allocation(start.worker, start.task, start.run);
+    if (allocation != nullptr && is_confirmation(result.outcome))
     {
-        allocation->start_confirmed_at = this->state.dependencies.loop.now();
-        allocation->on_known_incarnation |=
-            lease->is_clock_of_known_incarnation(result.clock_ms, start.at);
+        allocation->start_confirmed_at = now;
+        allocation->on_known_incarnation |= is_known;
     }
 }
 
--- a/src/cell/worker_lease.cpp
+++ b/src/cell/worker_lease.cpp
@@ -43,6 +43,7 @@
     , worker(std::move(target))
     , fences(fences)
     , token(fences.raise())
+    , first_token(this->token)
     , lease_limit(std::move(lease_limit))
     , listener(listener)
     , created_at(loop.now())
@@ -83,6 +84,13 @@
     return this->token;
 }
 
+milliseconds worker_lease::age_of_clock(time_point sent_at) const
+{
+    return lease_margin +
+           std::chrono::ceil<milliseconds>(
+               this->loop.now() - std::min(this->report_requested_at, sent_at));
+}
+
 bool worker_lease::is_clock_of_known_incarnation(
     std::int64_t answered_clock_ms, time_point sent_at) const
 {
@@ -90,33 +98,49 @@
     {
         return false;
     }
-    time_point const now = this->loop.now();
-    milliseconds const age =
-        lease_margin + std::chrono::ceil<milliseconds>(
-                           now - std::min(this->report_requested_at, sent_at));
+    std::int64_t const age = this->age_of_clock(sent_at).count();
     bool const is_consistent =
-        std::abs(answered_clock_ms - this->clock_ms) <= age.count();
+        std::abs(answered_clock_ms - this->clock_ms) <= age;
     // A later incarnation has counted no longer than this.
-    return is_consistent && answered_clock_ms > age.count();
+    return is_consistent && answered_clock_ms > age;
 }
 
-void worker_lease::note_doubtful_grant(sent_grant const& grant)
+void worker_lease::note_clock(
+    std::int64_t answered_clock_ms, time_point sent_at)
 {
-    this->doubtful_grant.at = std::max(this->doubtful_grant.at, grant.at);
-    this->doubtful_grant.token =
-        std::max(this->doubtful_grant.token, grant.token);
+    if (answered_clock_ms >= 0 &&
+        answered_clock_ms <
+            this->clock_ms - this->age_of_clock(sent_at).count())
+    {
+        this->reported = false;
+    }
 }
 
-time_point worker_lease::next_incarnation_runs_until(
-    time_point started_at, std::uint64_t token) const
+void worker_lease::note_unproven_grant(time_point latest, std::uint64_t token)
 {
-    time_point last_renewal = started_at;
-    if (this->doubtful_grant.token >= token)
+    time_point const now = this->loop.now();
+    std::erase_if(this->unproven_grants,
+        [now](auto const& each) { return each.second + longest_lease < now; });
+    time_point& until = this->unproven_grants[token];
+    until = std::max(until, latest);
+}
+
+time_point worker_lease::unproven_until(std::uint64_t token) const
+{
+    time_point until{};
+    for (auto each = this->unproven_grants.lower_bound(token);
+         each != this->unproven_grants.end(); ++each)
     {
-        last_renewal =
-            std::max(last_renewal, this->doubtful_grant.at + max_order_delay);
+        until = std::max(until, each->second);
     }
-    return last_renewal + longest_lease;
+    return until;
+}
+
+time_point worker_lease::next_incarnation_runs_until(
+    time_point started_at, std::uint64_t token) const
+{
+    // The order with this token bars the earlier ones.
+    return std::max(started_at, this->unproven_until(token)) + longest_lease;
 }
 
 std::int64_t worker_lease::grant_lease()
@@ -151,9 +175,15 @@
     }
     std::int64_t remaining =
         std::max<std::int64_t>(this->lease_end() - this->clock_ms, 0);
-    return this->clock_read_at +
-           milliseconds(remaining * permille / slow_clock_permille) +
-           lease_margin;
+    time_point expiry =
+        this->clock_read_at +
+        milliseconds(remaining * permille / slow_clock_permille) + lease_margin;
+    if (this->assumption_token > 0)
+    {
+        // Orders to an earlier incarnation are not barred yet.
+        expiry = std::max(expiry, this->unproven_until(0) + longest_lease);
+    }
+    return expiry;
 }
 
 bool worker_lease::was_leader_at(time_point when) const
@@ -170,10 +200,10 @@
     this->in_flight = true;
     watch_order order;
     order.fencing_token = this->token;
-    // After a poll without an answer the worker may have restarted: nothing is
+    // After a poll without a report the worker may have restarted: nothing is
     // acknowledged to the next incarnation, nor is its lease renewed by the
     // clock of the earlier one.
-    if (this->failures == 0)
+    if (this->reported)
     {
         order.lease_until_ms = this->grant_lease();
         order.acknowledged = this->acknowledged;
@@ -185,8 +215,7 @@
     {
         this->effective_poll_token = this->token;
     }
-    bool wait =
-        this->clock_ms >= 0 && this->failures == 0 && this->unsettled.empty();
+    bool wait = this->reported && this->unsettled.empty();
     sent.wait = wait ? completion_wait : milliseconds(0);
     order.wait_ms = sent.wait.count();
     this->orders.watch(this->worker, order,
@@ -211,8 +240,10 @@
     }
     if (!is_answered && poll.has_effect)
     {
-        this->note_doubtful_grant({poll.at, poll.token});
+        this->note_unproven_grant(poll.at + max_order_delay, poll.token);
     }
+    this->reported =
+        result.outcome == order_outcome::done && result.clock_ms >= 0;
     if (result.outcome == order_outcome::refused_fenced)
     {
         if (this->is_overtaken(poll.token))
@@ -235,7 +266,7 @@
         }
         return;
     }
-    if (result.outcome != order_outcome::done || result.clock_ms < 0)
+    if (!this->reported)
     {
         this->handle_failure(result, poll);
         return;
@@ -337,6 +368,7 @@
     this->assumed_until = 0;
     this->assumption_token = 0;
     this->token = this->fences.raise();
+    this->first_token = this->token;
 }
 
 void worker_lease::assume_earlier_grants()
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -226,6 +226,7 @@
     // one was up.
     bool is_barred_from_next =
         allocation.has_ticket() &&
+        !lease.precedes_known_incarnation(allocation.start_token) &&
         (allocation.on_known_incarnation ||
             lease.has_answered_since(allocation.ticket_received_at));
     if (latest_start == time_point{} || is_barred_from_next)
