Explorer: leaders that go on after they were replaced

Each term has a process of its own, which may be frozen or lose the store for longer than others wait for its heartbeat, and lose some workers. It goes on until it sees the new leader row, a conflict or a refusal; `may_start_work` and `lease_limit` follow leadership.cpp. A frozen process sends what is in its buffers when it goes on. Rule `replaced-leaders`.

--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -45,6 +46,8 @@
     bool late_starts_without_tickets = false;
     /// A worker also forgets later ends up to the highest acknowledged number.
     bool lasting_acknowledgements = false;
+    /// A leader that was replaced goes on until it sees that.
+    bool replaced_leaders = true;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -552,6 +555,21 @@
             std::move(done));
     }
 
+    /// A call that its sender holds back leaves it after the delay, and is late
+    /// for the worker that was up at first.
+    void send_held(std::string const& id, microseconds delay,
+        std::function<void()> const& send_now)
+    {
+        call_origin const origin{true, this->workers[id].boots, this->loop.now()};
+        this->loop.after(delay,
+            [this, origin, send_now]
+            {
+                this->held = origin;
+                send_now();
+                this->held.reset();
+            });
+    }
+
     event_loop& loop;
     model_rules rules;
     std::uint64_t seed;
@@ -634,7 +652,8 @@
             call->answer(result);
         };
         this->loop.after(timeout, fail);
-        call_origin origin{false, worker.boots, this->loop.now()};
+        call_origin origin = this->held.value_or(
+            call_origin{false, worker.boots, this->loop.now()});
         bool late =
             this->rules.late_calls && this->random.chance(this->faults.late);
         bool lost =
@@ -1167,6 +1186,8 @@
     std::vector<std::shared_ptr<model_boot>> boots;
     std::map<std::string, ticket> tickets;
     std::set<std::pair<step_id, std::uint64_t>> working_gangs;
+    // Of the call that is sent now, if its sender has held it back.
+    std::optional<call_origin> held;
     int last_serial = 0;
 };
 
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -12,6 +12,7 @@
 
 #include "cell/cell_tables.hpp"
 #include "fake_record_store.hpp"
+#include "model_leader.hpp"
 #include "model_workers.hpp"
 
 #include "toucanlever/core/log.hpp"
@@ -57,7 +58,8 @@
         &model_rules::late_starts_without_tickets},
     rule_name{"gangs", &model_rules::gangs},
     rule_name{"successions", &model_rules::successions},
-    rule_name{"lasting-acks", &model_rules::lasting_acknowledgements}};
+    rule_name{"lasting-acks", &model_rules::lasting_acknowledgements},
+    rule_name{"replaced-leaders", &model_rules::replaced_leaders}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -102,6 +104,7 @@
         : rules(rules)
         , seed(seed)
         , random(seed, 0)
+        , later_random(seed, 2)
         , workers(loop, seed, rules)
         , advice(workers)
     {
@@ -219,6 +222,16 @@
         ++this->fencing_token;
         std::int64_t version = this->store.set(tables::leader_row_key(),
             "holder-" + std::to_string(this->fencing_token));
+        this->workers.trace.note({}, {},
+            [this] {
+                return "TERM " + std::to_string(this->fencing_token) +
+                       " begins";
+            });
+        if (this->rules.replaced_leaders)
+        {
+            this->add_leader({this->fencing_token, version});
+            return;
+        }
         this->term.reset();
         this->broker.reset();
         this->members = std::make_unique<member_links>(this->loop, "self");
@@ -234,13 +247,124 @@
         this->term = std::make_unique<dispatcher>(std::move(parts),
             leader_proof{this->fencing_token, version},
             [](std::string const&) {});
+    }
+
+    /// The leader before it goes on until it sees that it was replaced.
+    void add_leader(leader_proof const& proof)
+    {
+        this->leaders.push_back(std::make_unique<model_leader>(this->time,
+            this->store, this->workers, this->advice, proof,
+            [this, token = proof.fencing_token](std::string const& reason)
+            { this->on_deposed(token, reason); }));
+        this->leaders.back()->begin(
+            this->queues, !variable("TOUCAN_MODEL_LOG").empty());
+    }
+
+    void on_deposed(std::uint64_t token, std::string const& reason)
+    {
+        // Without a heartbeat for this long, another instance is elected.
+        constexpr milliseconds vacancy_timeout{1700};
         this->workers.trace.note({}, {},
-            [this] {
-                return "TERM " + std::to_string(this->fencing_token) +
-                       " begins";
+            [token, &reason]
+            { return "TERM " + std::to_string(token) + " ends: " + reason; });
+        if (token == this->fencing_token)
+        {
+            this->loop.after(vacancy_timeout, [this] { this->begin_term(); });
+        }
+    }
+
+    dispatcher* active()
+    {
+        return this->rules.replaced_leaders ? this->leaders.back()->active()
+                                            : this->term.get();
+    }
+
+    void accept(work_record const& job, std::int64_t version)
+    {
+        if (!this->rules.replaced_leaders)
+        {
+            this->term->accept(job, version);
+            return;
+        }
+        model_leader& leader = *this->leaders.back();
+        leader.process.deliver(
+            [&leader, job, version]
+            {
+                if (leader.active() != nullptr)
+                {
+                    leader.active()->accept(job, version);
+                }
+            });
+    }
+
+    /// The leader loses some workers, and some time later it is frozen or loses
+    /// the store, for longer than the others wait for its heartbeat.
+    void replace_leader()
+    {
+        this->cut_leader_from_workers(*this->leaders.back());
+        this->loop.after(this->later_random.time(0, 6000),
+            [this, token = this->fencing_token]
+            {
+                if (this->fencing_token == token &&
+                    !this->leaders.back()->is_deposed())
+                {
+                    this->interrupt_leader(*this->leaders.back());
+                }
+            });
+    }
+
+    void interrupt_leader(model_leader& leader)
+    {
+        milliseconds const vacant_for = this->later_random.time(900, 3000);
+        milliseconds const returns_after =
+            vacant_for + (this->later_random.chance(400)
+                                 ? this->later_random.time(0, 300)
+                                 : this->later_random.time(300, 6000));
+        bool const is_frozen = this->later_random.chance(600);
+        bool const is_cut = !is_frozen || this->later_random.chance(300);
+        if (is_frozen)
+        {
+            // After the next calls, some of which it then holds back.
+            leader.process.handles_arrivals_first =
+                this->later_random.chance(500);
+            leader.process.frozen_from =
+                this->loop.now() + this->later_random.time(0, 10);
+            leader.process.frozen_until = this->loop.now() + returns_after;
+            this->note_event({}, "the leader is frozen for ", returns_after);
+        }
+        if (is_cut)
+        {
+            milliseconds const cut_for =
+                returns_after +
+                (is_frozen ? this->later_random.time(0, 3000) : milliseconds(0));
+            leader.process.store_cut_until = this->loop.now() + cut_for;
+            this->note_event({}, "the leader loses the store for ", cut_for);
+        }
+        this->loop.after(vacant_for,
+            [this, token = this->fencing_token]
+            {
+                if (this->fencing_token == token)
+                {
+                    this->begin_term();
+                    this->cut_leader_from_workers(*this->leaders.back());
+                }
             });
     }
 
+    void cut_leader_from_workers(model_leader& leader)
+    {
+        for (std::string const& id : this->names)
+        {
+            milliseconds const length = this->later_random.time(500, 9000);
+            if (this->later_random.chance(350))
+            {
+                leader.process.worker_cut_until[id] = this->loop.now() + length;
+                this->note_event(
+                    id, "calls of one leader are cut off for ", length);
+            }
+        }
+    }
+
     void plan_jobs()
     {
         std::int64_t const count = this->random.between(6, 14);
@@ -254,7 +378,7 @@
                 {
                     std::int64_t version = this->store.set(
                         tables::job_row_key("node", job.id), pack(job));
-                    this->term->accept(job, version);
+                    this->accept(job, version);
                 });
         }
     }
@@ -312,7 +436,32 @@
         }
         if (this->random.chance(600))
         {
-            this->plan(this->rules.successions, [this] { this->begin_term(); });
+            this->plan(this->rules.successions, [this] { this->succeed(); });
+        }
+        std::int64_t const replacements = this->later_random.between(1, 3);
+        for (std::int64_t i = 0; i < replacements; ++i)
+        {
+            this->plan_later(this->rules.replaced_leaders,
+                [this] { this->replace_leader(); });
+        }
+    }
+
+    void succeed()
+    {
+        if (!this->leaders.empty())
+        {
+            this->leaders.back()->end();
+        }
+        this->begin_term();
+    }
+
+    /// Drawn apart, so that the other events are the same with and without.
+    void plan_later(bool enabled, std::function<void()> event)
+    {
+        milliseconds const at = this->later_random.time(500, active_ms - 500);
+        if (enabled)
+        {
+            this->loop.after(at, std::move(event));
         }
     }
 
@@ -381,53 +530,90 @@
             { return what + std::to_string(length.count()) + " ms"; });
     }
 
-    /// Runs the loop in virtual time, from one timer to the next.
+    /// Runs all loops in virtual time, from one timer to the next.
     void advance(milliseconds length)
     {
         time_point const end = this->loop.now() + length;
-        ACE_Reactor& reactor = this->loop.reactor();
         while (true)
         {
-            time_point next = end;
-            if (!reactor.timer_queue()->is_empty())
+            time_point next = this->next_event(this->loop, end);
+            for (auto const& leader : this->leaders)
             {
-                ACE_Time_Value const& at =
-                    reactor.timer_queue()->earliest_time();
-                next = std::min(end, time_point(std::chrono::seconds(at.sec()) +
-                                                microseconds(at.usec())));
+                next = std::min(next, this->next_event(leader->process, end));
             }
             if (next > this->loop.now())
             {
                 this->time.advance(next - this->loop.now());
             }
-            auto const now = this->loop.now().time_since_epoch().count();
-            constexpr std::int64_t us_per_second = 1000000;
-            int const expired = reactor.timer_queue()->expire(
-                ACE_Time_Value(now / us_per_second,
-                    static_cast<suseconds_t>(now % us_per_second)));
-            this->handle_posted();
-            if (expired <= 0 && this->loop.now() >= end)
+            bool handled = this->handle_due(this->loop);
+            // A callback may add a leader.
+            for (std::size_t i = 0; i < this->leaders.size(); ++i)
+            {
+                model_process& process = this->leaders[i]->process;
+                if (!process.is_frozen())
+                {
+                    process.handle_early_arrivals();
+                    handled |= this->handle_due(process.loop);
+                    handled |= process.has_arrivals();
+                    process.handle_arrivals();
+                }
+            }
+            if (!handled && this->loop.now() >= end)
             {
                 return;
             }
         }
     }
 
-    /// Time must not pass before callbacks that are posted now.
-    void handle_posted()
+    static time_point next_event(event_loop& loop, time_point end)
     {
+        ACE_Reactor& reactor = loop.reactor();
+        if (reactor.timer_queue()->is_empty())
+        {
+            return end;
+        }
+        ACE_Time_Value const& at = reactor.timer_queue()->earliest_time();
+        return std::min(end, time_point(std::chrono::seconds(at.sec()) +
+                                        microseconds(at.usec())));
+    }
+
+    static time_point next_event(model_process& process, time_point end)
+    {
+        return process.is_frozen() ? std::min(end, process.frozen_until)
+                                   : next_event(process.loop, end);
+    }
+
+    /// Time must not pass before callbacks that are posted now. False when
+    /// nothing was due.
+    bool handle_due(event_loop& due)
+    {
+        ACE_Reactor& reactor = due.reactor();
+        auto const now = due.now().time_since_epoch().count();
+        constexpr std::int64_t us_per_second = 1000000;
+        int const expired =
+            reactor.timer_queue()->expire(ACE_Time_Value(now / us_per_second,
+                static_cast<suseconds_t>(now % us_per_second)));
         int handled = 1;
         while (handled != 0)
         {
             ACE_Time_Value no_wait = ACE_Time_Value::zero;
-            handled = this->loop.reactor().handle_events(no_wait);
+            handled = reactor.handle_events(no_wait);
             cr_assert(handled >= 0 || errno == EINTR);
         }
+        return expired > 0;
+    }
+
+    lookup_result look_up(std::string const& job)
+    {
+        dispatcher* found = this->active();
+        return found == nullptr
+                   ? lookup_result::unavailable(lookup_problem::leader_outdated)
+                   : found->look_up(job);
     }
 
     bool has_succeeded(std::string const& job)
     {
-        lookup_result const found = this->term->look_up(job);
+        lookup_result const found = this->look_up(job);
         return found.outcome == lookup_outcome::found &&
                found.state == work_state::succeeded;
     }
@@ -448,7 +634,7 @@
             {
                 continue;
             }
-            lookup_result const found = this->term->look_up(job);
+            lookup_result const found = this->look_up(job);
             bool const failed = found.outcome == lookup_outcome::found &&
                                 found.state == work_state::failed;
             std::string const shown = found.outcome == lookup_outcome::found
@@ -471,6 +657,7 @@
     model_rules rules;
     std::uint64_t seed;
     model_random random;
+    model_random later_random;
     manual_clock time;
     event_loop loop{this->time};
     std::unique_ptr<member_links> members;
@@ -485,6 +672,8 @@
     std::map<std::string, worker_entry> entries;
     std::unique_ptr<advice_broker> broker;
     std::unique_ptr<dispatcher> term;
+    // Instead of the term, where replaced leaders go on; the last one leads.
+    std::vector<std::unique_ptr<model_leader>> leaders;
 };
 
 struct seed_range
