Explorer: workers that start again under another id

Calls to the earlier id are refused with other_incarnation and have no effect; the new entry is listed, the earlier one is removed seconds later. Rule `new-ids`.

--- a/tests/unit/model_leader.hpp
+++ b/tests/unit/model_leader.hpp
@@ -253,9 +253,8 @@
 class model_leader final : public leader_heartbeat
 {
 public:
-    model_leader(clock const& time, record_store& store,
-        model_workers& workers, placement_advice& policy,
-        leader_proof const& proof,
+    model_leader(clock const& time, record_store& store, model_workers& workers,
+        placement_advice& policy, leader_proof const& proof,
         std::function<void(std::string const& reason)> on_deposed)
         : process(time, store, workers, policy)
         , proof(proof)
--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -48,6 +48,8 @@
     bool lasting_acknowledgements = false;
     /// A leader that was replaced goes on until it sees that.
     bool replaced_leaders = true;
+    /// A worker may start again at its address under another id.
+    bool new_ids = true;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -470,6 +472,22 @@
         }
     }
 
+    /// The next worker at the address has another id: calls to the earlier one
+    /// have no effect.
+    void replace_worker(std::string const& id, std::string const& next)
+    {
+        model_worker& earlier = this->workers[id];
+        model_worker& later = this->workers[next];
+        earlier.next = next;
+        later.calls_cut_until = earlier.calls_cut_until;
+        later.answers_cut_until = earlier.answers_cut_until;
+    }
+
+    bool is_replaced(std::string const& id) const
+    {
+        return !this->workers.at(id).next.empty();
+    }
+
     /// Loses calls to the worker, or its answers, until a later time.
     void cut_calls(std::string const& id, milliseconds length)
     {
@@ -560,7 +578,8 @@
     void send_held(std::string const& id, microseconds delay,
         std::function<void()> const& send_now)
     {
-        call_origin const origin{true, this->workers[id].boots, this->loop.now()};
+        call_origin const origin{
+            true, this->workers[id].boots, this->loop.now()};
         this->loop.after(delay,
             [this, origin, send_now]
             {
@@ -588,6 +607,8 @@
     struct model_worker
     {
         int boots = 0;
+        // The id of the next worker at its address, if there is one.
+        std::string next;
         // Null while it is down.
         std::shared_ptr<model_boot> boot;
         time_point calls_cut_until{};
@@ -675,12 +696,19 @@
             [this, id, task, what, origin, answer_lost, carry_out, call, fail]
             {
                 model_worker& worker = this->workers[id];
-                if (this->loop.now() < worker.calls_cut_until)
+                model_worker const& at_address = this->last_at_address(id);
+                if (this->loop.now() < at_address.calls_cut_until)
                 {
                     this->trace.note(id, task,
                         [&what] { return "(" + what + " is cut off)"; });
                     return;
                 }
+                if (worker.boot == nullptr && at_address.boot != nullptr)
+                {
+                    this->answer_for_other<Result>(
+                        id, task, what, answer_lost, call);
+                    return;
+                }
                 if (worker.boot == nullptr)
                 {
                     fail();
@@ -697,6 +725,43 @@
             });
     }
 
+    model_worker const& last_at_address(std::string const& id) const
+    {
+        model_worker const* last = &this->workers.at(id);
+        while (!last->next.empty())
+        {
+            last = &this->workers.at(last->next);
+        }
+        return *last;
+    }
+
+    template <typename Result>
+    void answer_for_other(std::string const& id, std::string const& task,
+        std::string const& what, bool answer_lost,
+        std::shared_ptr<open_call<Result>> const& call)
+    {
+        bool const lost =
+            answer_lost ||
+            this->loop.now() < this->last_at_address(id).answers_cut_until;
+        this->trace.note(id, task,
+            [&]
+            {
+                return what + " refused by another worker at its address" +
+                       (lost ? ", answer lost" : "");
+            });
+        if (lost)
+        {
+            return;
+        }
+        this->loop.after(this->random.time(1, 5),
+            [call]
+            {
+                Result result;
+                result.outcome = order_outcome::other_incarnation;
+                call->answer(result);
+            });
+    }
+
     template <typename Result, typename CarryOut>
     void carry_out_late(std::string const& id, std::string const& task,
         std::string const& what, call_origin origin, CarryOut const& carry_out)
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -59,7 +59,8 @@
     rule_name{"gangs", &model_rules::gangs},
     rule_name{"successions", &model_rules::successions},
     rule_name{"lasting-acks", &model_rules::lasting_acknowledgements},
-    rule_name{"replaced-leaders", &model_rules::replaced_leaders}};
+    rule_name{"replaced-leaders", &model_rules::replaced_leaders},
+    rule_name{"new-ids", &model_rules::new_ids}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -170,12 +171,13 @@
         {
             std::string id = "w" + std::to_string(i);
             this->names.push_back(id);
-            this->boot_worker(id, milliseconds(0));
+            this->boot_worker(id, id, milliseconds(0));
         }
     }
 
     /// Boots a worker; the platform lists it after a delay.
-    void boot_worker(std::string const& id, milliseconds listed_after)
+    void boot_worker(std::string const& id, std::string const& address,
+        milliseconds listed_after)
     {
         constexpr std::array<std::int64_t, 3> capacities{2000, 3000, 4000};
         std::int64_t capacity = this->random.any_of(capacities);
@@ -186,7 +188,7 @@
         model_boot const& boot = this->workers.boot_worker(id, capacity);
         worker_entry entry;
         entry.id = id;
-        entry.address = id;
+        entry.address = address;
         entry.service = "s";
         entry.capacity = boot.capacity;
         entry.started_ms = boot.started_ms;
@@ -201,6 +203,10 @@
 
     void list(std::string const& id)
     {
+        if (this->workers.is_replaced(id))
+        {
+            return;
+        }
         worker_entry const& entry = this->entries[id];
         this->store.set({"workers-listed", "", id}, pack(entry));
         this->workers.trace.note(id, {},
@@ -335,8 +341,8 @@
         if (is_cut)
         {
             milliseconds const cut_for =
-                returns_after +
-                (is_frozen ? this->later_random.time(0, 3000) : milliseconds(0));
+                returns_after + (is_frozen ? this->later_random.time(0, 3000)
+                                           : milliseconds(0));
             leader.process.store_cut_until = this->loop.now() + cut_for;
             this->note_event({}, "the leader loses the store for ", cut_for);
         }
@@ -485,8 +491,29 @@
         milliseconds const down = this->random.chance(700)
                                       ? this->random.time(50, 400)
                                       : this->random.time(400, 2000);
-        this->loop.after(down, [this, id]
-            { this->boot_worker(id, this->random.time(200, 1500)); });
+        bool const under_new_id =
+            this->later_random.chance(400) && this->rules.new_ids;
+        this->loop.after(down,
+            [this, id, under_new_id]
+            {
+                milliseconds const listed_after = this->random.time(200, 1500);
+                if (under_new_id)
+                {
+                    this->boot_under_new_id(id, listed_after);
+                    return;
+                }
+                this->boot_worker(id, this->entries[id].address, listed_after);
+            });
+    }
+
+    void boot_under_new_id(std::string const& id, milliseconds listed_after)
+    {
+        std::string const next = "n" + std::to_string(++this->new_ids);
+        this->workers.replace_worker(id, next);
+        std::replace(this->names.begin(), this->names.end(), id, next);
+        this->boot_worker(next, this->entries[id].address, listed_after);
+        this->loop.after(this->later_random.time(1500, 6000),
+            [this, id] { this->unlist(id); });
     }
 
     void cut_any()
@@ -668,6 +695,7 @@
     no_heartbeat heartbeat;
     std::uint64_t fencing_token = 0;
     std::vector<std::string> names;
+    int new_ids = 0;
     std::vector<std::string> jobs;
     std::map<std::string, worker_entry> entries;
     std::unique_ptr<advice_broker> broker;
