--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -50,6 +50,8 @@
     bool replaced_leaders = true;
     /// A worker may start again at its address under another id.
     bool new_ids = true;
+    /// Calls are held up on their way, before what else delays them.
+    bool relays = false;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -91,6 +93,7 @@
     std::int64_t lost = 0;
     std::int64_t answer_lost = 0;
     std::int64_t answer_slow = 0;
+    std::int64_t held_up = 0;
 };
 
 /// A broken rule, and what the trace has to show of it.
@@ -413,6 +416,7 @@
         , rules(rules)
         , seed(seed)
         , random(seed, 1)
+        , relay_random(seed, 3)
         , trace(loop)
         , ledger(loop)
     {
@@ -594,6 +598,8 @@
     std::uint64_t seed;
     network_faults faults;
     model_random random;
+    // Drawn apart, so that all else is the same without relays.
+    model_random relay_random;
     model_trace trace;
     run_ledger ledger;
     /// Calls that are still to be carried out late.
@@ -658,6 +664,14 @@
         return boot == nullptr ? id + " (down)" : boot->name();
     }
 
+    /// A relay that stands still for longer is noticed.
+    milliseconds draw_relay_delay()
+    {
+        bool const held_up = this->relay_random.chance(this->faults.held_up);
+        milliseconds const delay = this->relay_random.time(20, 1000);
+        return held_up && this->rules.relays ? delay : milliseconds(0);
+    }
+
     template <typename Result, typename CarryOut>
     void send(std::string const& id, std::string const& task,
         std::string const& what, milliseconds timeout,
@@ -681,9 +695,11 @@
             this->rules.lost_calls && this->random.chance(this->faults.lost);
         bool answer_lost = this->rules.lost_answers &&
                            this->random.chance(this->faults.answer_lost);
+        milliseconds const held_up_for = this->draw_relay_delay();
         if (late)
         {
-            this->carry_out_late<Result>(id, task, what, origin, carry_out);
+            this->carry_out_late<Result>(
+                id, task, what, origin, held_up_for, carry_out);
             return;
         }
         if (lost)
@@ -692,7 +708,9 @@
                 id, task, [&what] { return "(" + what + " is lost)"; });
             return;
         }
-        this->loop.after(this->random.time(1, 5),
+        // The sender has given up by then.
+        origin.late = held_up_for >= timeout;
+        this->loop.after(held_up_for + this->random.time(1, 5),
             [this, id, task, what, origin, answer_lost, carry_out, call, fail]
             {
                 model_worker& worker = this->workers[id];
@@ -764,11 +782,12 @@
 
     template <typename Result, typename CarryOut>
     void carry_out_late(std::string const& id, std::string const& task,
-        std::string const& what, call_origin origin, CarryOut const& carry_out)
+        std::string const& what, call_origin origin, milliseconds held_up_for,
+        CarryOut const& carry_out)
     {
         origin.late = true;
         ++this->late_calls_pending;
-        this->loop.after(this->random.time(2000, 12000),
+        this->loop.after(held_up_for + this->random.time(2000, 12000),
             [this, id, task, what, origin, carry_out]
             {
                 --this->late_calls_pending;
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -60,7 +60,8 @@
     rule_name{"successions", &model_rules::successions},
     rule_name{"lasting-acks", &model_rules::lasting_acknowledgements},
     rule_name{"replaced-leaders", &model_rules::replaced_leaders},
-    rule_name{"new-ids", &model_rules::new_ids}};
+    rule_name{"new-ids", &model_rules::new_ids},
+    rule_name{"relays", &model_rules::relays}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -160,7 +161,7 @@
         constexpr std::array<std::int64_t, 4> other{0, 20, 100, 200};
         this->workers.faults = {this->random.any_of(late),
             this->random.any_of(other), this->random.any_of(other),
-            this->random.any_of(other)};
+            this->random.any_of(other), this->later_random.any_of(other)};
         this->store.transaction_time = this->random.time(0, 30);
     }
 
