Explorer: addresses that change while a worker goes on

The entry of a worker gets another address, so that the scheduler makes a new worker_lease. Calls to the earlier address still arrive. Rule `addresses`.

--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -52,6 +52,8 @@
     bool new_ids = true;
     /// Calls are held up on their way, before what else delays them.
     bool relays = false;
+    /// The address in the entry of a worker changes while it goes on.
+    bool address_changes = true;
 };
 
 /// Deterministic random numbers, the same with every standard library.
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -61,7 +61,8 @@
     rule_name{"lasting-acks", &model_rules::lasting_acknowledgements},
     rule_name{"replaced-leaders", &model_rules::replaced_leaders},
     rule_name{"new-ids", &model_rules::new_ids},
-    rule_name{"relays", &model_rules::relays}};
+    rule_name{"relays", &model_rules::relays},
+    rule_name{"addresses", &model_rules::address_changes}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -418,9 +419,11 @@
         return job;
     }
 
-    std::string const& any_worker()
+    std::string const& any_worker() { return this->any_of_names(this->random); }
+
+    std::string const& any_of_names(model_random& drawn)
     {
-        return this->names[static_cast<std::size_t>(this->random.between(
+        return this->names[static_cast<std::size_t>(drawn.between(
             0, static_cast<std::int64_t>(this->names.size()) - 1))];
     }
 
@@ -451,6 +454,20 @@
             this->plan_later(this->rules.replaced_leaders,
                 [this] { this->replace_leader(); });
         }
+        std::int64_t const moves = this->later_random.between(0, 2);
+        for (std::int64_t i = 0; i < moves; ++i)
+        {
+            this->plan_later(
+                this->rules.address_changes, [this] { this->move_any(); });
+        }
+    }
+
+    void move_any()
+    {
+        std::string const id = this->any_of_names(this->later_random);
+        this->entries[id].address += "'";
+        this->note_event(id, "gets another address, ", milliseconds(0));
+        this->list(id);
     }
 
     void succeed()
