Explorer: a store that is away, late or does not answer

Transactions are executed 1 to 6 s late if their checks still hold, or executed without an answer; the store is away for up to 9 s. Ends and crashes are then recorded late. Rule `store-faults`.

--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -54,6 +54,8 @@
     bool relays = false;
     /// The address in the entry of a worker changes while it goes on.
     bool address_changes = true;
+    /// The store is away, or transactions are executed late or not answered.
+    bool store_faults = true;
 };
 
 /// Deterministic random numbers, the same with every standard library.
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -13,6 +13,7 @@
 #include "cell/cell_tables.hpp"
 #include "fake_record_store.hpp"
 #include "model_leader.hpp"
+#include "model_store.hpp"
 #include "model_workers.hpp"
 
 #include "toucanlever/core/log.hpp"
@@ -62,7 +63,8 @@
     rule_name{"replaced-leaders", &model_rules::replaced_leaders},
     rule_name{"new-ids", &model_rules::new_ids},
     rule_name{"relays", &model_rules::relays},
-    rule_name{"addresses", &model_rules::address_changes}};
+    rule_name{"addresses", &model_rules::address_changes},
+    rule_name{"store-faults", &model_rules::store_faults}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -124,6 +126,8 @@
         this->plan_events();
         this->advance(active_time);
         this->workers.faults = {};
+        this->platform.late = 0;
+        this->platform.answer_lost = 0;
         time_point const end = this->loop.now() + calm_time;
         while (this->loop.now() < end && !this->is_over())
         {
@@ -164,6 +168,14 @@
             this->random.any_of(other), this->random.any_of(other),
             this->random.any_of(other), this->later_random.any_of(other)};
         this->store.transaction_time = this->random.time(0, 30);
+        constexpr std::array<std::int64_t, 4> of_store{0, 0, 50, 300};
+        std::int64_t const late_share = this->later_random.any_of(of_store);
+        std::int64_t const lost_share = this->later_random.any_of(of_store);
+        if (this->rules.store_faults)
+        {
+            this->platform.late = late_share;
+            this->platform.answer_lost = lost_share;
+        }
     }
 
     void list_workers()
@@ -245,7 +257,7 @@
         this->members = std::make_unique<member_links>(this->loop, "self");
         this->broker = std::make_unique<advice_broker>(
             this->loop, this->advice, *this->members);
-        dispatcher_dependencies parts{this->loop, this->store, this->workers,
+        dispatcher_dependencies parts{this->loop, this->platform, this->workers,
             *this->broker, this->queues, "workers-listed",
             [](std::string const&, std::string const& value)
             { return std::optional(unpack<worker_entry>(value, "test")); },
@@ -261,7 +273,7 @@
     void add_leader(leader_proof const& proof)
     {
         this->leaders.push_back(std::make_unique<model_leader>(this->time,
-            this->store, this->workers, this->advice, proof,
+            this->platform, this->workers, this->advice, proof,
             [this, token = proof.fencing_token](std::string const& reason)
             { this->on_deposed(token, reason); }));
         this->leaders.back()->begin(
@@ -460,6 +472,19 @@
             this->plan_later(
                 this->rules.address_changes, [this] { this->move_any(); });
         }
+        std::int64_t const outages = this->later_random.between(0, 1);
+        for (std::int64_t i = 0; i < outages; ++i)
+        {
+            this->plan_later(
+                this->rules.store_faults, [this] { this->lose_store(); });
+        }
+    }
+
+    void lose_store()
+    {
+        milliseconds const length = this->later_random.time(500, 9000);
+        this->platform.away_until = this->loop.now() + length;
+        this->note_event({}, "the store is away for ", length);
     }
 
     void move_any()
@@ -707,6 +732,7 @@
     event_loop loop{this->time};
     std::unique_ptr<member_links> members;
     fake_record_store store{this->loop};
+    model_store platform{this->loop, this->store, this->seed};
     model_workers workers;
     model_advice advice;
     queue_directory queues;
