Explorer: leases that count from their arrival, and clocks that stand still

Off by default, because PROTOCOL.md rules both out: "Lease time is measured on the runner's own steady clock, which may be 2% slow" and "`DeadlineMs` is a time on the runner's clock". Rules `grants-from-arrival`, `stopped-clocks`.

--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -56,6 +56,12 @@
     bool address_changes = true;
     /// The store is away, or transactions are executed late or not answered.
     bool store_faults = true;
+    /// The lease of a late order counts from its arrival. PROTOCOL.md has it a
+    /// time on the clock of the worker.
+    bool grants_from_arrival = false;
+    /// The clock of a worker stands still for seconds. PROTOCOL.md has it 2%
+    /// slow at most.
+    bool stopped_clocks = false;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -141,6 +147,9 @@
     std::int64_t started_ms = 0;
     time_point started_at{};
     std::int64_t clock_permille = 1000;
+    /// All of its stops, also what is left of the last one.
+    microseconds clock_stood_still{0};
+    time_point clock_stops_until{};
     resources capacity;
     bool up = true;
     /// The scheduler has received a report of it.
@@ -165,8 +174,19 @@
     }
     std::int64_t clock(time_point now) const
     {
-        return (now - this->started_at).count() * this->clock_permille /
-               1000000;
+        microseconds const stood_still =
+            this->clock_stood_still -
+            std::max(this->clock_stops_until - now, microseconds(0));
+        return (now - this->started_at - stood_still).count() *
+               this->clock_permille / 1000000;
+    }
+    void stop_clock(time_point now, milliseconds length)
+    {
+        if (now >= this->clock_stops_until)
+        {
+            this->clock_stops_until = now + length;
+            this->clock_stood_still += length;
+        }
     }
 };
 
@@ -506,6 +526,14 @@
         this->workers[id].answers_cut_until = this->loop.now() + length;
     }
 
+    void stop_clock(std::string const& id, milliseconds length)
+    {
+        if (this->workers[id].boot != nullptr)
+        {
+            this->workers[id].boot->stop_clock(this->loop.now(), length);
+        }
+    }
+
     bool is_up(std::string const& id) const
     {
         return this->workers.at(id).boot != nullptr;
@@ -898,8 +926,15 @@
         return true;
     }
 
-    void extend_lease(model_boot& boot, std::int64_t until_ms)
+    void extend_lease(
+        model_boot& boot, std::int64_t until_ms, call_origin const& origin)
     {
+        if (origin.late && until_ms > 0 && this->rules.grants_from_arrival)
+        {
+            until_ms += std::chrono::duration_cast<milliseconds>(
+                this->loop.now() - origin.sent_at)
+                            .count();
+        }
         std::int64_t const now = boot.clock(this->loop.now());
         std::int64_t const until = std::min(until_ms, now + max_lease_ms);
         if (until > now && until > boot.lease_until_ms)
@@ -950,7 +985,8 @@
         {
             return order_outcome::refused_fenced;
         }
-        if (order.lease_until_ms <= boot.clock(this->loop.now()))
+        if (order.lease_until_ms <= boot.clock(this->loop.now()) &&
+            !(origin.late && this->rules.grants_from_arrival))
         {
             return order_outcome::refused_expired;
         }
@@ -966,7 +1002,7 @@
         {
             return order_outcome::refused_ticket;
         }
-        this->extend_lease(boot, order.lease_until_ms);
+        this->extend_lease(boot, order.lease_until_ms, origin);
         if (same)
         {
             return order_outcome::done;
@@ -1193,7 +1229,7 @@
             reply(refusal);
             return;
         }
-        this->extend_lease(boot, order.lease_until_ms);
+        this->extend_lease(boot, order.lease_until_ms, origin);
         boot.acknowledged = std::max(boot.acknowledged, order.acknowledged);
         for (completed_run const& end : boot.ends)
         {
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -64,7 +64,9 @@
     rule_name{"new-ids", &model_rules::new_ids},
     rule_name{"relays", &model_rules::relays},
     rule_name{"addresses", &model_rules::address_changes},
-    rule_name{"store-faults", &model_rules::store_faults}};
+    rule_name{"store-faults", &model_rules::store_faults},
+    rule_name{"grants-from-arrival", &model_rules::grants_from_arrival},
+    rule_name{"stopped-clocks", &model_rules::stopped_clocks}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -478,6 +480,12 @@
             this->plan_later(
                 this->rules.store_faults, [this] { this->lose_store(); });
         }
+        std::int64_t const stops = this->later_random.between(0, 2);
+        for (std::int64_t i = 0; i < stops; ++i)
+        {
+            this->plan_later(
+                this->rules.stopped_clocks, [this] { this->stop_any_clock(); });
+        }
     }
 
     void lose_store()
@@ -487,6 +495,14 @@
         this->note_event({}, "the store is away for ", length);
     }
 
+    void stop_any_clock()
+    {
+        std::string const id = this->any_of_names(this->later_random);
+        milliseconds const length = this->later_random.time(500, 6000);
+        this->workers.stop_clock(id, length);
+        this->note_event(id, "the clock stands still for ", length);
+    }
+
     void move_any()
     {
         std::string const id = this->any_of_names(this->later_random);
