Explorer: workers that restart behind a cut

While answers of a worker are cut off it restarts, and calls fail by their time-outs only, so that the leader sends starts to a boot that it does not know of.

--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -62,6 +62,9 @@
     /// The clock of a worker stands still for seconds. PROTOCOL.md has it 2%
     /// slow at most.
     bool stopped_clocks = false;
+    /// A worker restarts while its answers are cut off, so that no call to it
+    /// fails sooner than by its time-out.
+    bool restarts_behind_cuts = false;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -494,6 +497,10 @@
         }
         std::vector<std::function<void()>> failures = std::move(worker.open);
         worker.open.clear();
+        if (this->hides_failures(worker))
+        {
+            return;
+        }
         for (std::function<void()>& fail : failures)
         {
             this->loop.after(this->random.time(1, 4), std::move(fail));
@@ -761,7 +768,10 @@
                 }
                 if (worker.boot == nullptr)
                 {
-                    fail();
+                    if (!this->hides_failures(worker))
+                    {
+                        fail();
+                    }
                     return;
                 }
                 if (worker.open.size() >= max_open_calls)
@@ -775,6 +785,13 @@
             });
     }
 
+    /// A refused or reset connection is not seen through a cut.
+    bool hides_failures(model_worker const& worker) const
+    {
+        return this->rules.restarts_behind_cuts &&
+               this->loop.now() < worker.answers_cut_until;
+    }
+
     model_worker const& last_at_address(std::string const& id) const
     {
         model_worker const* last = &this->workers.at(id);
--- a/tests/unit/worker_restart_model.tests.cpp
+++ b/tests/unit/worker_restart_model.tests.cpp
@@ -66,7 +66,8 @@
     rule_name{"addresses", &model_rules::address_changes},
     rule_name{"store-faults", &model_rules::store_faults},
     rule_name{"grants-from-arrival", &model_rules::grants_from_arrival},
-    rule_name{"stopped-clocks", &model_rules::stopped_clocks}};
+    rule_name{"stopped-clocks", &model_rules::stopped_clocks},
+    rule_name{"restarts-behind-cuts", &model_rules::restarts_behind_cuts}};
 
 /// Issues tickets that are valid on one incarnation of a worker.
 class model_advice final : public placement_advice
@@ -112,6 +113,7 @@
         , seed(seed)
         , random(seed, 0)
         , later_random(seed, 2)
+        , reborn_random(seed, 5)
         , workers(loop, seed, rules)
         , advice(workers)
     {
@@ -324,6 +326,10 @@
     void replace_leader()
     {
         this->cut_leader_from_workers(*this->leaders.back());
+        if (this->rules.restarts_behind_cuts && this->reborn_random.chance(500))
+        {
+            this->restart_behind_cut();
+        }
         this->loop.after(this->later_random.time(0, 6000),
             [this, token = this->fencing_token]
             {
@@ -486,6 +492,16 @@
             this->plan_later(
                 this->rules.stopped_clocks, [this] { this->stop_any_clock(); });
         }
+        std::int64_t const reborn = this->reborn_random.between(0, 2);
+        for (std::int64_t i = 0; i < reborn; ++i)
+        {
+            milliseconds const at =
+                this->reborn_random.time(500, active_ms - 500);
+            if (this->rules.restarts_behind_cuts)
+            {
+                this->loop.after(at, [this] { this->restart_behind_cut(); });
+            }
+        }
     }
 
     void lose_store()
@@ -550,6 +566,11 @@
         milliseconds const down = this->random.chance(700)
                                       ? this->random.time(50, 400)
                                       : this->random.time(400, 2000);
+        this->boot_later(id, down);
+    }
+
+    void boot_later(std::string const& id, milliseconds down)
+    {
         bool const under_new_id =
             this->later_random.chance(400) && this->rules.new_ids;
         this->loop.after(down,
@@ -575,6 +596,29 @@
             [this, id] { this->unlist(id); });
     }
 
+    void restart_behind_cut()
+    {
+        std::string const id = this->any_of_names(this->reborn_random);
+        milliseconds const length = this->reborn_random.time(3000, 15000);
+        this->workers.cut_answers(id, length);
+        bool const is_silent = this->reborn_random.chance(400);
+        if (is_silent)
+        {
+            this->workers.cut_calls(id, length);
+        }
+        this->note_event(
+            id, is_silent ? "silent for " : "answers are cut off for ", length);
+        this->loop.after(this->reborn_random.time(0, 1500),
+            [this, id]
+            {
+                if (this->workers.is_up(id))
+                {
+                    this->workers.crash_worker(id);
+                    this->boot_later(id, this->reborn_random.time(50, 400));
+                }
+            });
+    }
+
     void cut_any()
     {
         std::string const id = this->any_worker();
@@ -744,6 +788,7 @@
     std::uint64_t seed;
     model_random random;
     model_random later_random;
+    model_random reborn_random;
     manual_clock time;
     event_loop loop{this->time};
     std::unique_ptr<member_links> members;
