--- a/tests/unit/model_workers.hpp
+++ b/tests/unit/model_workers.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -45,6 +46,25 @@
     bool late_starts_without_tickets = false;
     /// A worker also forgets later ends up to the highest acknowledged number.
     bool lasting_acknowledgements = false;
+    /// A leader that was replaced goes on until it sees that.
+    bool replaced_leaders = true;
+    /// A worker may start again at its address under another id.
+    bool new_ids = true;
+    /// Calls are held up on their way, before what else delays them.
+    bool relays = false;
+    /// The address in the entry of a worker changes while it goes on.
+    bool address_changes = true;
+    /// The store is away, or transactions are executed late or not answered.
+    bool store_faults = true;
+    /// The lease of a late order counts from its arrival. PROTOCOL.md has it a
+    /// time on the clock of the worker.
+    bool grants_from_arrival = false;
+    /// The clock of a worker stands still for seconds. PROTOCOL.md has it 2%
+    /// slow at most.
+    bool stopped_clocks = false;
+    /// A worker restarts while its answers are cut off, so that no call to it
+    /// fails sooner than by its time-out.
+    bool restarts_behind_cuts = false;
 };
 
 /// Deterministic random numbers, the same with every standard library.
@@ -86,6 +106,7 @@
     std::int64_t lost = 0;
     std::int64_t answer_lost = 0;
     std::int64_t answer_slow = 0;
+    std::int64_t held_up = 0;
 };
 
 /// A broken rule, and what the trace has to show of it.
@@ -129,6 +150,9 @@
     std::int64_t started_ms = 0;
     time_point started_at{};
     std::int64_t clock_permille = 1000;
+    /// All of its stops, also what is left of the last one.
+    microseconds clock_stood_still{0};
+    time_point clock_stops_until{};
     resources capacity;
     bool up = true;
     /// The scheduler has received a report of it.
@@ -153,8 +177,19 @@
     }
     std::int64_t clock(time_point now) const
     {
-        return (now - this->started_at).count() * this->clock_permille /
-               1000000;
+        microseconds const stood_still =
+            this->clock_stood_still -
+            std::max(this->clock_stops_until - now, microseconds(0));
+        return (now - this->started_at - stood_still).count() *
+               this->clock_permille / 1000000;
+    }
+    void stop_clock(time_point now, milliseconds length)
+    {
+        if (now >= this->clock_stops_until)
+        {
+            this->clock_stops_until = now + length;
+            this->clock_stood_still += length;
+        }
     }
 };
 
@@ -408,6 +443,7 @@
         , rules(rules)
         , seed(seed)
         , random(seed, 1)
+        , relay_random(seed, 3)
         , trace(loop)
         , ledger(loop)
     {
@@ -461,12 +497,32 @@
         }
         std::vector<std::function<void()>> failures = std::move(worker.open);
         worker.open.clear();
+        if (this->hides_failures(worker))
+        {
+            return;
+        }
         for (std::function<void()>& fail : failures)
         {
             this->loop.after(this->random.time(1, 4), std::move(fail));
         }
     }
 
+    /// The next worker at the address has another id: calls to the earlier one
+    /// have no effect.
+    void replace_worker(std::string const& id, std::string const& next)
+    {
+        model_worker& earlier = this->workers[id];
+        model_worker& later = this->workers[next];
+        earlier.next = next;
+        later.calls_cut_until = earlier.calls_cut_until;
+        later.answers_cut_until = earlier.answers_cut_until;
+    }
+
+    bool is_replaced(std::string const& id) const
+    {
+        return !this->workers.at(id).next.empty();
+    }
+
     /// Loses calls to the worker, or its answers, until a later time.
     void cut_calls(std::string const& id, milliseconds length)
     {
@@ -477,6 +533,14 @@
         this->workers[id].answers_cut_until = this->loop.now() + length;
     }
 
+    void stop_clock(std::string const& id, milliseconds length)
+    {
+        if (this->workers[id].boot != nullptr)
+        {
+            this->workers[id].boot->stop_clock(this->loop.now(), length);
+        }
+    }
+
     bool is_up(std::string const& id) const
     {
         return this->workers.at(id).boot != nullptr;
@@ -552,11 +616,29 @@
             std::move(done));
     }
 
+    /// A call that its sender holds back leaves it after the delay, and is late
+    /// for the worker that was up at first.
+    void send_held(std::string const& id, microseconds delay,
+        std::function<void()> const& send_now)
+    {
+        call_origin const origin{
+            true, this->workers[id].boots, this->loop.now()};
+        this->loop.after(delay,
+            [this, origin, send_now]
+            {
+                this->held = origin;
+                send_now();
+                this->held.reset();
+            });
+    }
+
     event_loop& loop;
     model_rules rules;
     std::uint64_t seed;
     network_faults faults;
     model_random random;
+    // Drawn apart, so that all else is the same without relays.
+    model_random relay_random;
     model_trace trace;
     run_ledger ledger;
     /// Calls that are still to be carried out late.
@@ -570,6 +652,8 @@
     struct model_worker
     {
         int boots = 0;
+        // The id of the next worker at its address, if there is one.
+        std::string next;
         // Null while it is down.
         std::shared_ptr<model_boot> boot;
         time_point calls_cut_until{};
@@ -619,6 +703,14 @@
         return boot == nullptr ? id + " (down)" : boot->name();
     }
 
+    /// A relay that stands still for longer is noticed.
+    milliseconds draw_relay_delay()
+    {
+        bool const held_up = this->relay_random.chance(this->faults.held_up);
+        milliseconds const delay = this->relay_random.time(20, 1000);
+        return held_up && this->rules.relays ? delay : milliseconds(0);
+    }
+
     template <typename Result, typename CarryOut>
     void send(std::string const& id, std::string const& task,
         std::string const& what, milliseconds timeout,
@@ -634,16 +726,19 @@
             call->answer(result);
         };
         this->loop.after(timeout, fail);
-        call_origin origin{false, worker.boots, this->loop.now()};
+        call_origin origin = this->held.value_or(
+            call_origin{false, worker.boots, this->loop.now()});
         bool late =
             this->rules.late_calls && this->random.chance(this->faults.late);
         bool lost =
             this->rules.lost_calls && this->random.chance(this->faults.lost);
         bool answer_lost = this->rules.lost_answers &&
                            this->random.chance(this->faults.answer_lost);
+        milliseconds const held_up_for = this->draw_relay_delay();
         if (late)
         {
-            this->carry_out_late<Result>(id, task, what, origin, carry_out);
+            this->carry_out_late<Result>(
+                id, task, what, origin, held_up_for, carry_out);
             return;
         }
         if (lost)
@@ -652,19 +747,31 @@
                 id, task, [&what] { return "(" + what + " is lost)"; });
             return;
         }
-        this->loop.after(this->random.time(1, 5),
+        // The sender has given up by then.
+        origin.late = held_up_for >= timeout;
+        this->loop.after(held_up_for + this->random.time(1, 5),
             [this, id, task, what, origin, answer_lost, carry_out, call, fail]
             {
                 model_worker& worker = this->workers[id];
-                if (this->loop.now() < worker.calls_cut_until)
+                model_worker const& at_address = this->last_at_address(id);
+                if (this->loop.now() < at_address.calls_cut_until)
                 {
                     this->trace.note(id, task,
                         [&what] { return "(" + what + " is cut off)"; });
                     return;
                 }
+                if (worker.boot == nullptr && at_address.boot != nullptr)
+                {
+                    this->answer_for_other<Result>(
+                        id, task, what, answer_lost, call);
+                    return;
+                }
                 if (worker.boot == nullptr)
                 {
-                    fail();
+                    if (!this->hides_failures(worker))
+                    {
+                        fail();
+                    }
                     return;
                 }
                 if (worker.open.size() >= max_open_calls)
@@ -678,13 +785,58 @@
             });
     }
 
+    /// A refused or reset connection is not seen through a cut.
+    bool hides_failures(model_worker const& worker) const
+    {
+        return this->rules.restarts_behind_cuts &&
+               this->loop.now() < worker.answers_cut_until;
+    }
+
+    model_worker const& last_at_address(std::string const& id) const
+    {
+        model_worker const* last = &this->workers.at(id);
+        while (!last->next.empty())
+        {
+            last = &this->workers.at(last->next);
+        }
+        return *last;
+    }
+
+    template <typename Result>
+    void answer_for_other(std::string const& id, std::string const& task,
+        std::string const& what, bool answer_lost,
+        std::shared_ptr<open_call<Result>> const& call)
+    {
+        bool const lost =
+            answer_lost ||
+            this->loop.now() < this->last_at_address(id).answers_cut_until;
+        this->trace.note(id, task,
+            [&]
+            {
+                return what + " refused by another worker at its address" +
+                       (lost ? ", answer lost" : "");
+            });
+        if (lost)
+        {
+            return;
+        }
+        this->loop.after(this->random.time(1, 5),
+            [call]
+            {
+                Result result;
+                result.outcome = order_outcome::other_incarnation;
+                call->answer(result);
+            });
+    }
+
     template <typename Result, typename CarryOut>
     void carry_out_late(std::string const& id, std::string const& task,
-        std::string const& what, call_origin origin, CarryOut const& carry_out)
+        std::string const& what, call_origin origin, milliseconds held_up_for,
+        CarryOut const& carry_out)
     {
         origin.late = true;
         ++this->late_calls_pending;
-        this->loop.after(this->random.time(2000, 12000),
+        this->loop.after(held_up_for + this->random.time(2000, 12000),
             [this, id, task, what, origin, carry_out]
             {
                 --this->late_calls_pending;
@@ -791,8 +943,15 @@
         return true;
     }
 
-    void extend_lease(model_boot& boot, std::int64_t until_ms)
+    void extend_lease(
+        model_boot& boot, std::int64_t until_ms, call_origin const& origin)
     {
+        if (origin.late && until_ms > 0 && this->rules.grants_from_arrival)
+        {
+            until_ms += std::chrono::duration_cast<milliseconds>(
+                this->loop.now() - origin.sent_at)
+                            .count();
+        }
         std::int64_t const now = boot.clock(this->loop.now());
         std::int64_t const until = std::min(until_ms, now + max_lease_ms);
         if (until > now && until > boot.lease_until_ms)
@@ -843,7 +1002,8 @@
         {
             return order_outcome::refused_fenced;
         }
-        if (order.lease_until_ms <= boot.clock(this->loop.now()))
+        if (order.lease_until_ms <= boot.clock(this->loop.now()) &&
+            !(origin.late && this->rules.grants_from_arrival))
         {
             return order_outcome::refused_expired;
         }
@@ -859,7 +1019,7 @@
         {
             return order_outcome::refused_ticket;
         }
-        this->extend_lease(boot, order.lease_until_ms);
+        this->extend_lease(boot, order.lease_until_ms, origin);
         if (same)
         {
             return order_outcome::done;
@@ -1086,7 +1246,7 @@
             reply(refusal);
             return;
         }
-        this->extend_lease(boot, order.lease_until_ms);
+        this->extend_lease(boot, order.lease_until_ms, origin);
         boot.acknowledged = std::max(boot.acknowledged, order.acknowledged);
         for (completed_run const& end : boot.ends)
         {
@@ -1167,6 +1327,8 @@
     std::vector<std::shared_ptr<model_boot>> boots;
     std::map<std::string, ticket> tickets;
     std::set<std::pair<step_id, std::uint64_t>> working_gangs;
+    // Of the call that is sent now, if its sender has held it back.
+    std::optional<call_origin> held;
     int last_serial = 0;
 };
 
