--- a/include/toucanlever/cell/task_orders.hpp
+++ b/include/toucanlever/cell/task_orders.hpp
@@ -34,6 +34,9 @@
     void stop_job(std::string const& job);
     void stop_step(step_id const& step);
 
+    /// Releases the reservations of tasks that have succeeded by another run.
+    void release_succeeded(step_id const& step);
+
     /// Stops the remaining tasks of a gang after one of them was lost, ended
     /// without success or failed to start; does nothing for other steps.
     void stop_broken_gang(step_id const& step);
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -421,6 +421,27 @@
     }
 }
 
+void task_orders::release_succeeded(step_id const& id)
+{
+    registry_step const* step = this->state.registry.find(id);
+    for (std::uint32_t i = 0; step != nullptr && i < step->tasks.size(); ++i)
+    {
+        registry_task const& task = step->tasks[i];
+        if (!task.succeeded || task.worker.empty())
+        {
+            continue;
+        }
+        std::string const worker = task.worker;
+        task_allocation const* allocation =
+            this->find_allocation(worker, {id, i}, task.run);
+        if (allocation != nullptr &&
+            allocation->phase == allocation_phase::reserved)
+        {
+            this->release_task(worker, {id, i});
+        }
+    }
+}
+
 void task_orders::stop_broken_gang(step_id const& id)
 {
     registry_step const* step = this->state.registry.find(id);
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -591,6 +591,10 @@
             completion.task, completion.run, completion.outcome, now);
         this->record_completion(worker, receipt, completion, effect.job_ended);
     }
+    if (completion.outcome == run_outcome::succeeded)
+    {
+        this->orders.release_succeeded(completion.task.step);
+    }
     if (effect.job_ended)
     {
         this->on_job_ended(completion.task.step.job);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1002,6 +1002,40 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a start that is sent after the end of an earlier run has been
+// read, while it waited for advice.
+Test(dispatcher, a_reserved_task_that_has_succeeded_is_not_started)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    // Both workers are approved, because one has no room for all tasks.
+    fixture.submit("a", 3,
+        [](work_record& job)
+        {
+            job.queue.advice.required = true;
+            job.steps[0].need = {1500, 1024, 0};
+        });
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 3U);
+    std::string const holder = fixture.workers.all_starts.front().first;
+    cr_assert(fixture.workers.all_starts.front().second == first_task);
+    std::vector<std::function<void()>> answers;
+    fixture.advice.answer_later =
+        [&answers](placement_advice::callback done, advice_result const& result)
+    { answers.push_back([done, result] { done(result); }); };
+    fake_cell_worker& worker = fixture.workers.workers[holder];
+    worker.silent = true;
+    fixture.workers.end_run(holder, first_task, run_outcome::succeeded);
+    fixture.run_for(6 * second);
+    cr_assert(answers.size() == 1U);
+    worker.silent = false;
+    fixture.run_for(second);
+    cr_assert(worker.acknowledged == 1);
+    answers.front()();
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
 // Guards against a task that waits for the longest lease although its run is
 // known to be on the incarnation whose lease has expired.
 Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
