--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -902,6 +902,32 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a report of a restart that is older than a confirmed start.
+Test(dispatcher, a_run_confirmed_before_the_report_of_a_restart_is_not_given_up)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(10 * second);
+    fixture.restart_before_delayed_calls("w0");
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.withhold_answers = true;
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.withheld_answers.size() == 1U);
+    fixture.submit("a", 1);
+    fixture.run_for(milliseconds(20));
+    cr_assert(worker.running.contains(first_task));
+    fixture.list_worker("w0", true);
+    fixture.list_worker("w1");
+    fixture.run_for(milliseconds(500));
+    fixture.workers.deliver_withheld_answers("w0");
+    for (int i = 0; i < 100; ++i)
+    {
+        fixture.run_for(milliseconds(10));
+        cr_assert(fixture.workers.running_count() == 1U);
+    }
+    cr_assert(fixture.starts_of(first_task) == 1U);
+}
+
 Test(dispatcher, a_durable_completion_settles_none_of_the_next_incarnation)
 {
     cell_fixture fixture(1);
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -51,8 +51,12 @@
     bool delay_watches = false;
     /// The same, but the callers wait for the replies without end.
     bool withhold_watches = false;
+    /// Watches are carried out at once; their replies arrive with
+    /// `deliver_withheld_answers`.
+    bool withhold_answers = false;
     std::vector<start_order> delayed_starts;
     std::vector<delayed_watch> delayed_watches;
+    std::vector<std::function<void()>> withheld_answers;
     /// By task: the highest run that a stop has barred from starting.
     std::map<task_id, std::uint64_t> barred;
     std::map<task_id, std::uint64_t> running;
@@ -174,9 +178,27 @@
         {
             result.running.push_back({task, run, {}, 0});
         }
+        if (worker.withhold_answers)
+        {
+            worker.withheld_answers.push_back([done, result] { done(result); });
+            return;
+        }
         done(result);
     }
 
+    /// Delivers the replies of watches that were carried out before.
+    void deliver_withheld_answers(std::string const& id)
+    {
+        this->workers[id].withhold_answers = false;
+        std::vector<std::function<void()>> const answers =
+            std::move(this->workers[id].withheld_answers);
+        this->workers[id].withheld_answers.clear();
+        for (auto const& answer : answers)
+        {
+            answer();
+        }
+    }
+
     /// Carries out the delayed starts of a worker, except those of barred runs.
     void deliver_delayed_starts(std::string const& id)
     {
