--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -880,6 +880,36 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a lease on an unnoticed boot that another start has extended.
+Test(dispatcher, a_later_start_on_an_unnoticed_incarnation_extends_all_its_runs)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(10 * second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.withhold_watches = true;
+    fixture.run_for(milliseconds(100));
+    fixture.restart_before_delayed_calls("w0");
+    fixture.submit("a", 1);
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.running.contains(first_task));
+    fixture.run_for(milliseconds(1500));
+    task_id const next_task{{"b", 0, 0}, 0};
+    fixture.submit("b", 1);
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.running.contains(next_task));
+    worker.silent = true;
+    fixture.workers.deliver_delayed_watches("w0");
+    fixture.list_worker("w1");
+    fixture.run_for(milliseconds(9700));
+    cr_assert(worker.lease_until_ms > 10000);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+    fixture.workers.end_run("w0", first_task, run_outcome::lapsed);
+    fixture.workers.end_run("w0", next_task, run_outcome::lapsed);
+    fixture.run_for(15 * second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 // Guards against a task that waits for the longest lease although its run is
 // known to be on the incarnation whose lease has expired.
 Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
