--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -337,6 +337,23 @@
     cr_assert(fixture.starts_of(first_task) == 1U);
 }
 
+// Guards against a successor that has read only a part of the completions.
+Test(dispatcher, completions_beyond_the_first_report_are_waited_for)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.submit("a", 4);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    fixture.end_term();
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.workers.workers["w0"].max_listed = 2;
+    fixture.begin_term();
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.all_starts.size() == 4U);
+    cr_assert(fixture.state_of("a") == work_state::succeeded);
+}
+
 Test(dispatcher, an_unreachable_and_unlisted_worker_is_waited_for_too)
 {
     cell_fixture fixture;
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -6,6 +6,7 @@
 #include "toucanlever/cell/worker_orders.hpp"
 #include "toucanlever/core/event_loop.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -51,6 +52,8 @@
     bool delay_watches = false;
     /// The same, but the callers wait for the replies without end.
     bool withhold_watches = false;
+    /// A reply lists at most this many completions.
+    std::size_t max_listed = 500;
     /// Watches are carried out at once; their replies arrive with
     /// `deliver_withheld_answers`.
     bool withhold_answers = false;
@@ -174,6 +177,9 @@
         result.clock_ms = this->clock_of(worker);
         result.started_ms = worker.started_ms;
         result.completions = worker.completions;
+        result.all_completions = result.completions.size() < worker.max_listed;
+        result.completions.resize(
+            std::min(result.completions.size(), worker.max_listed));
         for (auto const& [task, run] : worker.running)
         {
             result.running.push_back({task, run, {}, 0});
