--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1070,6 +1070,26 @@
     cr_assert(fixture.state_of("b") == work_state::succeeded);
 }
 
+// Guards against an acknowledgement to a boot that refused the watch before it.
+Test(dispatcher, a_watch_after_one_refused_by_a_new_boot_hides_no_completion)
+{
+    cell_fixture fixture(1);
+    fake_cell_worker& worker = fixture.run_acknowledged_task();
+    worker.withhold_watches = true;
+    fixture.run_for(milliseconds(400));
+    cr_assert(worker.delayed_watches.size() == 1U);
+    fixture.restart_before_delayed_calls("w0");
+    fixture.submit("b", 1);
+    fixture.run_for(milliseconds(100));
+    task_id const next_task{{"b", 0, 0}, 0};
+    cr_assert(worker.running.contains(next_task));
+    fixture.workers.end_run("w0", next_task, run_outcome::succeeded);
+    fixture.workers.deliver_delayed_watches_with_refusals("w0");
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of(next_task) == 1U);
+    cr_assert(fixture.state_of("b") == work_state::succeeded);
+}
+
 Test(dispatcher, a_late_watch_of_an_earlier_incarnation_extends_no_lease)
 {
     cell_fixture fixture(1);
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -242,6 +242,31 @@
         }
     }
 
+    /// Carries out the delayed watches of a worker and replies to those that it
+    /// refuses because of their fencing token.
+    void deliver_delayed_watches_with_refusals(std::string const& id)
+    {
+        std::vector<delayed_watch> watches =
+            std::move(this->workers[id].delayed_watches);
+        this->workers[id].delayed_watches.clear();
+        for (delayed_watch const& watch : watches)
+        {
+            watch_result result;
+            if (watch.order.fencing_token < this->workers[id].fencing_token)
+            {
+                result.outcome = order_outcome::refused_fenced;
+            }
+            else
+            {
+                this->apply_watch(this->workers[id], watch.order);
+            }
+            if (watch.done)
+            {
+                watch.done(result);
+            }
+        }
+    }
+
     /// Ends the run of a task on a worker; does nothing when none is running.
     void end_run(
         std::string const& id, task_id const& task, run_outcome outcome)
