--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -927,6 +927,39 @@
     cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
 }
 
+// Guards against a ticket taken for a bar on the very boot it was issued to.
+Test(dispatcher, a_late_start_with_a_ticket_on_a_noticed_incarnation_runs_alone)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fixture.run_for(10 * second);
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.withhold_watches = true;
+    fixture.run_for(milliseconds(100));
+    fixture.restart_before_delayed_calls("w0");
+    worker.withhold_replies = true;
+    fixture.submit(
+        "a", 1, [](work_record& job) { job.queue.advice.required = true; });
+    fixture.run_for(milliseconds(100));
+    cr_assert(worker.delayed_starts.size() == 1U);
+    worker.withhold_answers = true;
+    fixture.workers.deliver_delayed_watches("w0");
+    fixture.run_for(milliseconds(50));
+    cr_assert(worker.withheld_answers.size() == 1U);
+    worker.silent = true;
+    fixture.workers.deliver_withheld_answers("w0");
+    fixture.list_worker("w1");
+    fixture.run_for(11 * second);
+    cr_assert(fixture.starts_of(first_task) == 0U);
+    fixture.workers.deliver_delayed_starts("w0");
+    cr_assert(worker.running.contains(first_task));
+    fixture.run_for(9 * second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.workers.end_run("w0", first_task, run_outcome::lapsed);
+    fixture.run_for(15 * second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
+
 // Guards against a task that waits for the longest lease although its run is
 // known to be on the incarnation whose lease has expired.
 Test(dispatcher, a_run_that_the_known_incarnation_confirmed_ends_with_its_lease)
