--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -12,6 +12,7 @@
 #include <criterion/new/assert.h>
 
 #include <random>
+#include <thread>
 
 using namespace toucanlever;
 
@@ -1344,6 +1345,44 @@
     cr_assert(worker.running.empty());
 }
 
+// Guards against tasks that are planned before their held runs are applied.
+Test(dispatcher, runs_of_an_occurrence_that_another_job_creates_are_kept)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    std::int64_t const due = wall_time_ms() + 2000;
+    fixture.submit("a", 2,
+        [due](work_record& job)
+        {
+            job.repetitions = 3;
+            job.first_run_ms = due;
+            job.interval_ms = 1000000;
+        });
+    fixture.end_term();
+    fake_cell_worker& worker = fixture.workers.workers["w1"];
+    worker.running[first_task] = 1;
+    worker.running[{{"a", 0, 0}, 1}] = 1;
+    fixture.workers.end_run("w1", first_task, run_outcome::succeeded);
+    fixture.begin_term();
+    fixture.run_for(milliseconds(310));
+    cr_assert(wall_time_ms() < due);
+    while (wall_time_ms() <= due)
+    {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    fixture.submit("b", 1,
+        [due](work_record& job)
+        {
+            job.repetitions = 1;
+            job.first_run_ms = due + 1000000;
+        });
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of(first_task) == 0U);
+    cr_assert(fixture.starts_of({{"a", 0, 0}, 1}) == 0U);
+    cr_assert(worker.acknowledged == 1);
+    cr_assert(worker.running.size() == 1U);
+}
+
 Test(dispatcher, runs_and_completions_of_a_job_that_does_not_exist_are_dropped)
 {
     cell_fixture fixture(1);
