--- a/include/toucanlever/cell/cell_settings.hpp
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -29,6 +29,11 @@
     /// How long an ended job can still be queried.
     milliseconds keep_ended{120000};
     bool log_decisions = true;
+    /// How old the confirmation of the configuration may be when a call with a
+    /// customer's key is served; 0 for no limit.
+    milliseconds revocation_bound{0};
+    /// How long a query for the state of an open job waits for its outcome.
+    milliseconds status_wait{0};
 
     bool operator==(cell_settings const&) const = default;
 };
--- a/include/toucanlever/cell/queue_directory.hpp
+++ b/include/toucanlever/cell/queue_directory.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace toucanlever
@@ -19,6 +20,8 @@
     std::string host;
     std::string prefix;
     queue_terms terms;
+    /// Callers need no key.
+    bool is_public = false;
 };
 
 /// One version of the configuration.
@@ -26,6 +29,9 @@
 {
     std::int64_t version = 0;
     std::vector<queue_route> routes;
+    /// Callers of routes that are not public need the key of a customer.
+    bool requires_keys = false;
+    std::vector<customer> customers;
     std::size_t max_body_bytes = 0;
 };
 
@@ -34,6 +40,7 @@
 {
     queue_terms const* queue = nullptr;
     std::string_view rest;
+    bool is_public = false;
 };
 
 /// Holds the configuration with the highest version received.
@@ -54,8 +61,21 @@
     /// The terms of a queue; null when the queue is not configured.
     queue_terms const* terms(std::string const& queue) const;
 
+    /// True when callers of routes that are not public need a key.
+    bool requires_keys() const { return this->current.requires_keys; }
+
+    /// The terms of a customer; null when the customer is not configured.
+    customer_terms const* customer_of(std::string const& name) const;
+
+    std::vector<customer> const& customers() const
+    {
+        return this->current.customers;
+    }
+
 private:
     cell_configuration current;
+    // By name: the customer's position in `current.customers`.
+    std::unordered_map<std::string, std::size_t> customer_positions;
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -3,6 +3,7 @@
 /// of which runs all steps.
 #pragma once
 
+#include "toucanlever/cell/customer.hpp"
 #include "toucanlever/core/enum_names.hpp"
 #include "toucanlever/core/resources.hpp"
 
@@ -103,9 +104,12 @@
     std::int64_t interval_ms = 0;
     /// Wall time of acceptance at the entry instance; used only to order jobs.
     std::int64_t accepted_ms = 0;
+    /// The customer that submitted it, as configured then. Absent in rows of
+    /// earlier versions.
+    customer_terms customer;
 
     MSGPACK_DEFINE(id, queue, payload, steps, repetitions, first_run_ms,
-        interval_ms, accepted_ms)
+        interval_ms, accepted_ms, customer)
 };
 
 /// Names a step of one occurrence of a job.
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -108,6 +108,8 @@
     work_state state = work_state::queued;
     /// The store holds enough to derive `state` again after a restart.
     bool durable = true;
+    /// Submitted beyond what its customer is entitled to submit.
+    bool beyond_entitlement = false;
     /// A task of the job has been started.
     bool started = false;
     /// When the job was added to the registry.
@@ -150,6 +152,8 @@
     /// The step's tasks run until the job is cancelled: however late it starts,
     /// it is of use from then on.
     bool long_running = false;
+    /// As in `registry_job`.
+    bool beyond_entitlement = false;
 
     bool operator<(step_rank const& other) const
     {
--- a/src/cell/queue_directory.cpp
+++ b/src/cell/queue_directory.cpp
@@ -10,6 +10,11 @@
         return false;
     }
     this->current = std::move(configuration);
+    this->customer_positions.clear();
+    for (std::size_t i = 0; i < this->current.customers.size(); ++i)
+    {
+        this->customer_positions[this->current.customers[i].terms.name] = i;
+    }
     return true;
 }
 
@@ -30,7 +35,8 @@
     {
         return std::nullopt;
     }
-    return route_match{&best->terms, path.substr(best->prefix.size())};
+    return route_match{
+        &best->terms, path.substr(best->prefix.size()), best->is_public};
 }
 
 queue_terms const* queue_directory::terms(std::string const& queue) const
@@ -45,4 +51,13 @@
     return nullptr;
 }
 
+customer_terms const* queue_directory::customer_of(
+    std::string const& name) const
+{
+    auto found = this->customer_positions.find(name);
+    return found == this->customer_positions.end()
+               ? nullptr
+               : &this->current.customers[found->second].terms;
+}
+
 } // namespace toucanlever
