Plan waiting steps in proportion to what changed

Cause: with 300 to 500 waiting steps a pass every 8 ms planned up to 400 of them, most of them late and without capacity, and kept the active scheduler busy; 400 steps that cannot be placed hid all others. Ordering copied the ranks of all ready steps. The registry computed the paths of a job again for each of its steps at each change.

Change: - A late, beyond or useless step that found no capacity is planned again after 100 ms, at once when its group changes or one of its tasks is returned. A step is not planned while its call for advice is in flight. A timer starts the pass for the next step that is due. - A pass has 4 ms on the loop's clock and continues in the next one; urgent steps that can be in time come in each pass. The limit of 400 steps is gone. - Workers held back or kept for a step stay so between two of its plannings, for at most 200 ms (kept ones also while its call for advice lasts). - The order has the group beyond the customer's entitlement, and takes a test for customers over their fair share. It points to ranks and copies none. - Usable workers and claims are listed once a pass; a label that no listed worker has costs no search. - Ranks are computed once for each occurrence; a completion touches its step and, when the step is done, the steps that wait for it.

--- a/include/toucanlever/cell/placement_log.hpp
+++ b/include/toucanlever/cell/placement_log.hpp
@@ -24,7 +24,10 @@
     /// late and the reason is not the one logged last.
     void note_step(registry_step& step, wait_reason reason, bool late);
 
-    /// Notes ready steps that the pass left out.
+    /// Notes a step that the pass did not plan because it was not due.
+    void note_skipped(registry_step const& step);
+
+    /// Notes due steps that the pass left to the next one.
     void note_unplanned(std::size_t steps)
     {
         this->reasons.add(wait_reason::not_planned, steps);
@@ -35,6 +38,8 @@
     void write_summary();
 
 private:
+    void note_waiting(registry_step const& step, wait_reason reason);
+
     dispatch_state& state;
     std::uint64_t pass = 0;
     waiting_by_reason reasons;
--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -4,6 +4,15 @@
 /// In a full cell, the step that has waited longest within its priority is
 /// served first, and workers that a large gang waits for are held back from
 /// later steps.
+///
+/// The cost of a pass is bounded while hundreds of steps wait: a step is
+/// planned only when it is due (`step_planning`), and a pass that has used up
+/// its time leaves the rest of its round to the next pass. A round plans each
+/// due step once. Steps of the highest priority that can be in time do not
+/// wait for the end of a round.
+///
+/// Workers held back for a step stay so, for the steps behind it, in the passes
+/// between two of its plannings.
 #pragma once
 
 #include "toucanlever/cell/placement_log.hpp"
@@ -12,6 +21,7 @@
 #include "toucanlever/cell/step_placement.hpp"
 #include "toucanlever/cell/takeover_boundary.hpp"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,11 +45,56 @@
     /// several events.
     void schedule_pass();
 
+    /// Sets the test that the planning order uses; without it, no customer uses
+    /// more than its fair share.
+    void set_share_test(share_test test)
+    {
+        this->is_over_share = std::move(test);
+    }
+
 private:
+    /// The ready steps of a pass.
+    struct ready_steps
+    {
+        /// Due, or with workers held back or kept; sorted by rank.
+        std::vector<step_rank const*> candidates;
+        /// Not due.
+        std::vector<registry_step const*> skipped;
+    };
+
+    /// A usable worker, as of the start of the pass.
+    struct usable_worker
+    {
+        pool_worker* worker = nullptr;
+        /// Its entry in `advice_claims`.
+        resources claimed;
+    };
+
     void run_pass();
+    /// Lists the usable workers; returns the maximum free amount of each
+    /// dimension on any one of them.
+    resources find_usable_workers();
+    /// Reads the claims again if calls were made since.
+    void update_claims();
+    ready_steps select_steps(time_point now, std::int64_t wall_ms);
+    /// True when the step's turn in its current round has not come yet.
+    bool is_left_in_round(
+        registry_step const& step, start_prospect prospect) const;
+    /// Plans the steps until the time of the pass is used up. Returns the
+    /// number of due steps that it left.
+    std::size_t plan_in_order(std::vector<step_rank const*> const& ordered,
+        resources const& largest_free, time_point now, std::int64_t wall_ms);
+    void plan_one(registry_step& step, start_prospect prospect,
+        resources const& largest_free);
+    /// True when a search can find workers for the step.
+    bool can_progress(registry_step const& step, resources const& largest_free);
+    bool is_listed_label(std::string const& label);
+    /// Holds back and keeps again, for a step that is not planned in this pass,
+    /// what its last planning has.
+    void renew_holds(registry_step const& step, time_point now);
+    /// Schedules a pass for the next time at which a skipped step is due.
+    void schedule_next_due(time_point now);
     bool may_start(registry_job const& job) const;
-    /// The maximum free amount of each dimension on any one usable worker.
-    resources max_free() const;
     /// Returns why tasks of the step still wait; `none` when none does.
     wait_reason plan_step(step_rank const& rank);
     placement_request make_request(
@@ -50,10 +105,10 @@
     /// Why a step that needs tickets waits although it was planned.
     wait_reason advice_wait(
         registry_job const& job, registry_step const& step) const;
-    /// The approved workers when the step needs tickets, otherwise all workers
-    /// of the pool.
-    candidate_workers candidates_for(
-        registry_step const& step, bool needs_tickets) const;
+    /// The approved workers when the step needs tickets, otherwise all usable
+    /// ones. Valid until the next call.
+    candidate_workers const& candidates_for(
+        registry_step const& step, bool needs_tickets);
     /// True when the step has tickets for all chosen workers, or the missing
     /// ones can be requested now.
     bool can_get_tickets(registry_job const& job, registry_step const& step,
@@ -61,14 +116,16 @@
     /// Holds back workers for a gang that does not fit, so that later steps of
     /// this pass do not use them. Of workers that need a ticket, only approved
     /// ones are: the gang could not use most of the others.
-    void hold_back_for_gang(registry_step const& step,
+    void hold_back_for_gang(registry_step& step,
         placement_request const& request, bool needs_tickets);
     /// Holds back chosen workers for which no ticket can be requested now.
-    void hold_back_chosen(std::vector<std::string> const& chosen);
-    void hold_back(pool_worker& worker);
+    void hold_back_chosen(
+        registry_step& step, std::vector<std::string> const& chosen);
+    void hold_back(registry_step& step, pool_worker& worker);
+    void mark_held_back(pool_worker& worker);
     /// Keeps workers for suspect tasks that found none without other tasks.
     void keep_for_isolation(
-        registry_step const& step, placement_request const& request);
+        registry_step& step, placement_request const& request);
     /// How many workers like this one the request needs at the same time.
     std::size_t workers_for(
         pool_worker const& worker, placement_request const& request) const;
@@ -107,8 +164,28 @@
     takeover_boundary boundary;
     bool enabled = false;
     bool pass_scheduled = false;
+    share_test is_over_share;
+    // The timer for the next due step, and its time; 0 while there is none.
+    event_loop::timer_id due_timer = 0;
+    time_point due_timer_at{};
+    // The earliest time at which a skipped step is due.
+    time_point next_due_at{};
     // Number of the planning pass.
     std::uint64_t pass = 0;
+    // The current rounds of urgent steps that can be in time, and of the
+    // others, and the last number given to a round.
+    std::uint64_t urgent_round = 1;
+    std::uint64_t round = 2;
+    std::uint64_t last_round = 2;
+    // The following are of this pass.
+    std::vector<usable_worker> usable;
+    candidate_workers usable_candidates;
+    candidate_workers approved_candidates;
+    bool claims_changed = false;
+    // By label: whether a listed worker has it.
+    std::map<std::string, bool> listed_labels;
+    // Number of searches for workers.
+    std::int64_t searches = 0;
     // Workers held back in this pass.
     std::size_t held_back_workers = 0;
     // Workers that suspect tasks lack in this pass.
--- a/include/toucanlever/cell/wait_reason.hpp
+++ b/include/toucanlever/cell/wait_reason.hpp
@@ -14,7 +14,8 @@
 {
     /// It has none, or no pass has planned it yet.
     none,
-    /// Too many steps come before it.
+    /// The time of the pass was used up before its turn; the next pass goes on
+    /// with it.
     not_planned,
     /// An earlier scheduler may have started it on a worker that has not
     /// answered.
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -2,6 +2,7 @@
 /// time is an argument.
 #pragma once
 
+#include "toucanlever/cell/step_planning.hpp"
 #include "toucanlever/cell/wait_reason.hpp"
 #include "toucanlever/cell/work.hpp"
 #include "toucanlever/core/clock.hpp"
@@ -70,11 +71,42 @@
     bool isolated = false;
 };
 
+struct registry_job;
+struct registry_step;
+
+/// Sort key of a ready step: priority, then the latest wall time at which the
+/// step can start and its job still finish in time. `order_steps` derives the
+/// planning order from it.
+struct step_rank
+{
+    std::int64_t priority = 0;
+    std::int64_t latest_start_ms = 0;
+    step_id id;
+    /// A step that starts later than this makes the job useless to its caller.
+    std::int64_t useless_start_ms = 0;
+    /// The step's tasks run until the job is cancelled: however late it starts,
+    /// it is of use from then on.
+    bool long_running = false;
+    /// As in `registry_job`.
+    bool beyond_entitlement = false;
+    /// The step itself, which lives as long as its job is in the registry.
+    registry_step* step = nullptr;
+
+    bool operator<(step_rank const& other) const
+    {
+        return std::tie(this->priority, this->latest_start_ms, this->id) <
+               std::tie(other.priority, other.latest_start_ms, other.id);
+    }
+};
+
 /// State of one step of one occurrence.
 struct registry_step
 {
     step_id id;
     work_step const* spec = nullptr;
+    registry_job* job = nullptr;
+    /// Computed once, when the occurrence is created.
+    step_rank rank;
     std::vector<registry_task> tasks;
     std::uint32_t succeeded = 0;
     /// Number of tasks that wait for an allocation; updated with the tasks.
@@ -89,6 +121,7 @@
     time_point ready_at{};
     /// Why it waits, as last logged; `none` until it is late.
     wait_reason logged_reason = wait_reason::none;
+    step_planning planning;
 
     bool done() const { return this->succeeded == this->tasks.size(); }
 
@@ -115,6 +148,8 @@
     /// When the job was added to the registry.
     time_point received{};
     time_point ended_at{};
+    /// By step: the later steps that wait for it directly.
+    std::vector<std::vector<std::uint32_t>> dependents;
     // By occurrence number; an occurrence is created when it is due.
     std::map<std::uint32_t, std::vector<registry_step>> occurrences;
     std::uint32_t finished_occurrences = 0;
@@ -139,29 +174,6 @@
     bool job_ended = false;
 };
 
-/// Sort key of a ready step: priority, then the latest wall time at which the
-/// step can start and its job still finish in time. `order_steps` derives the
-/// planning order from it.
-struct step_rank
-{
-    std::int64_t priority = 0;
-    std::int64_t latest_start_ms = 0;
-    step_id id;
-    /// A step that starts later than this makes the job useless to its caller.
-    std::int64_t useless_start_ms = 0;
-    /// The step's tasks run until the job is cancelled: however late it starts,
-    /// it is of use from then on.
-    bool long_running = false;
-    /// As in `registry_job`.
-    bool beyond_entitlement = false;
-
-    bool operator<(step_rank const& other) const
-    {
-        return std::tie(this->priority, this->latest_start_ms, this->id) <
-               std::tie(other.priority, other.latest_start_ms, other.id);
-    }
-};
-
 /// All open and recently ended jobs.
 class work_registry
 {
@@ -240,7 +252,9 @@
     /// Ends the job when its last occurrence is done; returns true then.
     bool finish_occurrence(
         registry_job& job, std::uint32_t occurrence, time_point now);
-    step_rank rank_of(registry_job const& job, registry_step const& step) const;
+    /// Sets the ranks of all steps of an occurrence.
+    static void set_ranks(
+        registry_job const& job, std::vector<registry_step>& steps);
     bool is_ready(registry_job const& job, registry_step const& step) const;
     void end_job(registry_job& job, work_state state, time_point now);
     /// Adds (1) or subtracts (-1) the job from its queue's waiting jobs.
--- a/src/cell/placement_log.cpp
+++ b/src/cell/placement_log.cpp
@@ -34,11 +34,7 @@
 void placement_log::note_step(
     registry_step& step, wait_reason reason, bool late)
 {
-    this->reasons.add(reason);
-    if (this->needs.size() < max_needs)
-    {
-        this->needs.push_back(step.spec->capacity_need());
-    }
+    this->note_waiting(step, reason);
     if (!late || step.logged_reason == reason || this->step_lines_left == 0)
     {
         return;
@@ -57,6 +53,20 @@
         .with("approved", step.advice.approved.size());
 }
 
+void placement_log::note_skipped(registry_step const& step)
+{
+    this->note_waiting(step, step.planning.reason);
+}
+
+void placement_log::note_waiting(registry_step const& step, wait_reason reason)
+{
+    this->reasons.add(reason);
+    if (this->needs.size() < max_needs)
+    {
+        this->needs.push_back(step.spec->capacity_need());
+    }
+}
+
 void placement_log::write_summary()
 {
     time_point now = this->state.dependencies.loop.now();
--- a/src/cell/reserved_task_starter.cpp
+++ b/src/cell/reserved_task_starter.cpp
@@ -148,6 +148,10 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         registry_task const& task = step.tasks[i];
+        if (task.worker.empty())
+        {
+            continue;
+        }
         task_allocation* allocation =
             this->orders.find_allocation(task.worker, {step.id, i}, task.run);
         if (allocation == nullptr ||
@@ -219,6 +223,10 @@
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
     {
         registry_task const& task = step.tasks[i];
+        if (task.worker.empty())
+        {
+            continue;
+        }
         task_id id{step.id, i};
         task_allocation* allocation =
             this->orders.find_allocation(task.worker, id, task.run);
--- a/src/cell/step_order.cpp
+++ b/src/cell/step_order.cpp
@@ -4,9 +4,54 @@
 
 namespace toucanlever
 {
+namespace
+{
+
+using rank_list = std::vector<step_rank const*>;
+
+/// The steps of one group in planning order. Steps are added by priority and
+/// latest start; those over their customer's share are set aside until the last
+/// step of their priority.
+class prospect_group
+{
+public:
+    void add(step_rank const& rank, bool over_share)
+    {
+        if (!this->over.empty() &&
+            this->over.front()->priority != rank.priority)
+        {
+            this->finish_priority();
+        }
+        (over_share ? this->over : this->ordered).push_back(&rank);
+    }
+
+    rank_list const& finish()
+    {
+        this->finish_priority();
+        return this->ordered;
+    }
+
+private:
+    void finish_priority()
+    {
+        this->ordered.insert(
+            this->ordered.end(), this->over.begin(), this->over.end());
+        this->over.clear();
+    }
+
+    rank_list ordered;
+    rank_list over;
+};
+
+} // namespace
 
 start_prospect prospect_of(step_rank const& rank, std::int64_t wall_ms)
 {
+    bool is_useless = !rank.long_running && wall_ms > rank.useless_start_ms;
+    if (rank.beyond_entitlement && !is_useless)
+    {
+        return start_prospect::beyond_entitlement;
+    }
     if (wall_ms <= rank.latest_start_ms)
     {
         return start_prospect::in_time;
@@ -15,28 +60,39 @@
     {
         return start_prospect::overdue_long_running;
     }
-    return wall_ms <= rank.useless_start_ms ? start_prospect::late
-                                            : start_prospect::useless;
+    return is_useless ? start_prospect::useless : start_prospect::late;
 }
 
-std::vector<step_rank> order_steps(
-    std::set<step_rank> const& ready, std::int64_t wall_ms, std::size_t limit)
+rank_list order_steps(rank_list const& sorted, std::int64_t wall_ms,
+    share_test const& is_over_share)
 {
-    constexpr std::size_t prospects = 4;
-    std::array<std::vector<step_rank>, prospects> groups;
-    for (step_rank const& rank : ready)
+    constexpr std::size_t prospects = 5;
+    std::array<prospect_group, prospects> groups;
+    for (step_rank const* rank : sorted)
     {
-        auto prospect = static_cast<std::size_t>(prospect_of(rank, wall_ms));
-        groups.at(prospect).push_back(rank);
+        auto prospect = static_cast<std::size_t>(prospect_of(*rank, wall_ms));
+        groups.at(prospect).add(*rank, is_over_share && is_over_share(*rank));
     }
-    std::vector<step_rank> ordered;
-    for (std::vector<step_rank> const& group : groups)
+    rank_list ordered;
+    ordered.reserve(sorted.size());
+    for (prospect_group& group : groups)
     {
-        auto count = std::min(group.size(), limit - ordered.size());
-        ordered.insert(ordered.end(), group.begin(),
-            group.begin() + static_cast<std::ptrdiff_t>(count));
+        rank_list const& steps = group.finish();
+        ordered.insert(ordered.end(), steps.begin(), steps.end());
     }
     return ordered;
 }
 
+rank_list order_steps(std::set<step_rank> const& ready, std::int64_t wall_ms,
+    share_test const& is_over_share)
+{
+    rank_list sorted;
+    sorted.reserve(ready.size());
+    for (step_rank const& rank : ready)
+    {
+        sorted.push_back(&rank);
+    }
+    return order_steps(sorted, wall_ms, is_over_share);
+}
+
 } // namespace toucanlever
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/cell/step_planner.hpp"
 
+#include "toucanlever/core/metrics.hpp"
+
 #include <algorithm>
 
 namespace toucanlever
@@ -17,8 +19,13 @@
 /// Run numbers of a leader term start above (fencing token - 1) times this, so
 /// that they exceed all runs of earlier terms, which may not all be recorded.
 constexpr std::uint64_t runs_per_term = 1000;
-/// Steps examined in one pass; the rest wait for the next pass.
-constexpr std::size_t max_steps_per_pass = 400;
+/// Time of one pass, so that reports and advice are handled in between; urgent
+/// steps that can be in time may use twice as much.
+constexpr microseconds pass_budget{4000};
+constexpr std::size_t steps_per_time_check = 8;
+/// Steps of the round that a pass plans at least, also when urgent steps use up
+/// its time.
+constexpr std::size_t min_other_steps = 8;
 /// Once one worker in this many is held back, no further step gets workers held
 /// back; the step that reaches the limit may exceed it. Holding back workers
 /// for every waiting step would leave them idle while other work fits.
@@ -27,6 +34,12 @@
 /// a series of crashes leaves most of the cell to other work.
 constexpr std::size_t workers_per_kept = 4;
 
+/// True for steps that never wait for the end of a round.
+bool is_urgent(step_rank const& rank, start_prospect prospect)
+{
+    return rank.priority == 0 && prospect == start_prospect::in_time;
+}
+
 } // namespace
 
 step_planner::step_planner(dispatch_state& state, worker_roster const& roster,
@@ -93,43 +106,46 @@
         return;
     }
     std::int64_t wall_ms = wall_time_ms();
-    std::size_t ready = this->state.registry.ready().size();
-    std::vector<step_rank> const ranks =
-        order_steps(this->state.registry.ready(), wall_ms, max_steps_per_pass);
-    // Workers held back for steps of higher rank stay so during this pass only.
+    time_point now = this->state.dependencies.loop.now();
     ++this->pass;
     this->log.begin_pass(this->pass);
-    this->log.note_unplanned(ready - ranks.size());
     this->held_back_workers = 0;
     this->isolation_demand = 0;
-    resources const largest_free = this->max_free();
-    for (step_rank const& rank : ranks)
-    {
-        registry_step* step = this->state.registry.find(rank.id);
-        // A gang or a suspect that does not fit still has workers held back for
-        // it.
-        bool can_progress = step != nullptr &&
-                            (step->spec->gang || step->is_suspect() ||
-                                largest_free.fits(step->spec->capacity_need()));
-        wait_reason reason =
-            can_progress ? this->plan_step(rank) : wait_reason::no_capacity;
-        if (step != nullptr && reason != wait_reason::none)
-        {
-            this->log.note_step(*step, reason,
-                prospect_of(rank, wall_ms) != start_prospect::in_time);
-        }
-    }
+    this->searches = 0;
+    this->listed_labels.clear();
+    this->next_due_at = time_point::max();
+    resources const largest_free = this->find_usable_workers();
+    ready_steps const steps = this->select_steps(now, wall_ms);
+    std::size_t left = this->plan_in_order(
+        order_steps(steps.candidates, wall_ms, this->is_over_share),
+        largest_free, now, wall_ms);
+    for (registry_step const* step : steps.skipped)
+    {
+        this->log.note_skipped(*step);
+    }
+    this->log.note_unplanned(left);
     this->release_kept_workers();
+    metrics().count("placement_searches", this->searches);
+    if (left > 0)
+    {
+        this->schedule_pass();
+    }
+    this->schedule_next_due(now);
 }
 
-resources step_planner::max_free() const
+resources step_planner::find_usable_workers()
 {
+    this->usable.clear();
+    this->usable_candidates.clear();
+    this->claims_changed = true;
     resources largest_free;
     time_point now = this->state.dependencies.loop.now();
-    for (auto const& [id, worker] : this->state.pool.all())
+    for (auto& [id, worker] : this->state.pool.all())
     {
         if (worker.is_usable(now))
         {
+            this->usable.push_back({&worker, {}});
+            this->usable_candidates.push_back(&worker);
             largest_free.cpu_millis =
                 std::max(largest_free.cpu_millis, worker.free.cpu_millis);
             largest_free.memory_bytes =
@@ -141,6 +157,212 @@
     return largest_free;
 }
 
+void step_planner::update_claims()
+{
+    if (!this->claims_changed)
+    {
+        return;
+    }
+    this->claims_changed = false;
+    for (usable_worker& each : this->usable)
+    {
+        each.claimed = this->state.claims.on(each.worker->entry.id);
+    }
+}
+
+step_planner::ready_steps step_planner::select_steps(
+    time_point now, std::int64_t wall_ms)
+{
+    ready_steps steps;
+    for (step_rank const& rank : this->state.registry.ready())
+    {
+        registry_step const& step = *rank.step;
+        step_planning const& planning = step.planning;
+        start_prospect prospect = prospect_of(rank, wall_ms);
+        bool is_due = planning.is_due(prospect, step.advice.pending, now);
+        if (is_due || planning.holds_workers(now) ||
+            planning.isolation_demand > 0)
+        {
+            steps.candidates.push_back(&step.rank);
+        }
+        if (is_due)
+        {
+            continue;
+        }
+        steps.skipped.push_back(&step);
+        if (!step.advice.pending)
+        {
+            this->next_due_at =
+                std::min(this->next_due_at, planning.not_before);
+        }
+    }
+    return steps;
+}
+
+bool step_planner::is_left_in_round(
+    registry_step const& step, start_prospect prospect) const
+{
+    return step.planning.round !=
+           (is_urgent(step.rank, prospect) ? this->urgent_round : this->round);
+}
+
+std::size_t step_planner::plan_in_order(
+    std::vector<step_rank const*> const& ordered, resources const& largest_free,
+    time_point now, std::int64_t wall_ms)
+{
+    event_loop const& loop = this->state.dependencies.loop;
+    microseconds elapsed{0};
+    std::size_t planned = 0;
+    std::size_t left = 0;
+    std::size_t urgent_left = 0;
+    std::size_t others_planned = 0;
+    for (step_rank const* rank : ordered)
+    {
+        registry_step& step = *rank->step;
+        start_prospect prospect = prospect_of(*rank, wall_ms);
+        bool due = step.planning.is_due(prospect, step.advice.pending, now);
+        if (!due || !this->is_left_in_round(step, prospect))
+        {
+            this->renew_holds(step, now);
+            if (due)
+            {
+                this->log.note_skipped(step);
+            }
+            continue;
+        }
+        bool urgent = is_urgent(*rank, prospect);
+        bool has_time =
+            urgent ? elapsed < 2 * pass_budget
+                   : elapsed < pass_budget || others_planned < min_other_steps;
+        if (!has_time)
+        {
+            ++(urgent ? urgent_left : left);
+            this->renew_holds(step, now);
+            continue;
+        }
+        others_planned += urgent ? 0 : 1;
+        step.planning.round = urgent ? this->urgent_round : this->round;
+        this->plan_one(step, prospect, largest_free);
+        if (++planned % steps_per_time_check == 0)
+        {
+            elapsed = loop.now() - now;
+        }
+    }
+    if (urgent_left == 0)
+    {
+        this->urgent_round = ++this->last_round;
+    }
+    if (left == 0)
+    {
+        this->round = ++this->last_round;
+    }
+    return left + urgent_left;
+}
+
+void step_planner::plan_one(
+    registry_step& step, start_prospect prospect, resources const& largest_free)
+{
+    time_point now = this->state.dependencies.loop.now();
+    step_planning& planning = step.planning;
+    planning.begin(prospect, now);
+    wait_reason reason = this->can_progress(step, largest_free)
+                             ? this->plan_step(step.rank)
+                             : wait_reason::no_capacity;
+    planning.end(reason, !step.advice.approved.empty());
+    if (planning.not_before > now)
+    {
+        this->next_due_at = std::min(this->next_due_at, planning.not_before);
+    }
+    if (reason != wait_reason::none)
+    {
+        this->log.note_step(step, reason, prospect != start_prospect::in_time);
+    }
+}
+
+bool step_planner::can_progress(
+    registry_step const& step, resources const& largest_free)
+{
+    std::string const& label = step.spec->required_label;
+    // The rest of a gang that has ended is stopped in any case.
+    bool is_ending = step.spec->gang && step.waiting < step.tasks.size();
+    if (!is_ending && !label.empty() && !this->is_listed_label(label))
+    {
+        return false;
+    }
+    // A gang or a suspect that does not fit still has workers held back for it.
+    return step.spec->gang || step.is_suspect() ||
+           largest_free.fits(step.spec->capacity_need());
+}
+
+bool step_planner::is_listed_label(std::string const& label)
+{
+    auto [entry, is_new] = this->listed_labels.try_emplace(label, false);
+    if (is_new)
+    {
+        auto const& workers = this->state.pool.all();
+        entry->second = std::any_of(workers.begin(), workers.end(),
+            [&label](auto const& each)
+            {
+                auto const& labels = each.second.entry.labels;
+                return !each.second.unlisted &&
+                       std::find(labels.begin(), labels.end(), label) !=
+                           labels.end();
+            });
+    }
+    return entry->second;
+}
+
+void step_planner::renew_holds(registry_step const& step, time_point now)
+{
+    step_planning const& planning = step.planning;
+    // A step that waits for its advice needs the workers kept for it for as
+    // long as the call takes.
+    if (step.advice.pending ||
+        now < planning.planned_at + step_planning::hold_duration)
+    {
+        this->isolation_demand += planning.isolation_demand;
+    }
+    if (!this->may_hold_back() || !planning.holds_workers(now))
+    {
+        return;
+    }
+    for (std::string const& id : planning.held_workers)
+    {
+        if (pool_worker* worker = this->state.pool.find(id))
+        {
+            this->mark_held_back(*worker);
+        }
+    }
+}
+
+void step_planner::schedule_next_due(time_point now)
+{
+    bool is_earlier =
+        this->due_timer == 0 || this->next_due_at < this->due_timer_at;
+    if (this->next_due_at == time_point::max() || !is_earlier)
+    {
+        return;
+    }
+    event_loop& loop = this->state.dependencies.loop;
+    if (this->due_timer != 0)
+    {
+        loop.cancel(this->due_timer);
+    }
+    // The minimum bounds the passes when each step is due at another time.
+    microseconds delay =
+        std::max<microseconds>(this->next_due_at - now, long_plan_delay);
+    this->due_timer_at = now + delay;
+    this->due_timer = loop.after(delay,
+        [this, alive = this->alive]
+        {
+            if (*alive)
+            {
+                this->due_timer = 0;
+                this->schedule_pass();
+            }
+        });
+}
+
 placement_request step_planner::make_request(
     registry_job const& job, registry_step const& step) const
 {
@@ -173,27 +395,22 @@
     return request;
 }
 
-candidate_workers step_planner::candidates_for(
-    registry_step const& step, bool needs_tickets) const
+candidate_workers const& step_planner::candidates_for(
+    registry_step const& step, bool needs_tickets)
 {
-    candidate_workers workers;
     if (!needs_tickets)
     {
-        workers.reserve(this->state.pool.all().size());
-        for (auto const& [id, worker] : this->state.pool.all())
-        {
-            workers.push_back(&worker);
-        }
-        return workers;
+        return this->usable_candidates;
     }
+    this->approved_candidates.clear();
     for (auto const& [id, ticket] : step.advice.approved)
     {
         if (pool_worker const* worker = this->state.pool.find(id))
         {
-            workers.push_back(worker);
+            this->approved_candidates.push_back(worker);
         }
     }
-    return workers;
+    return this->approved_candidates;
 }
 
 bool step_planner::can_request_advice(
@@ -243,6 +460,7 @@
         request.ready = [this, step](pool_worker const& worker)
         { return this->starter.has_ticket(*step, worker.entry.id); };
     }
+    ++this->searches;
     std::vector<std::string> chosen =
         place_step(this->candidates_for(*step, needs_tickets), request,
             this->state.dependencies.loop.now());
@@ -265,7 +483,7 @@
     }
     if (needs_tickets && !this->can_get_tickets(*job, *step, chosen))
     {
-        this->hold_back_chosen(chosen);
+        this->hold_back_chosen(*step, chosen);
         return this->advice_wait(*job, *step);
     }
     this->allocate(*step, chosen, request.need);
@@ -320,7 +538,7 @@
            this->state.pool.all().size();
 }
 
-void step_planner::hold_back(pool_worker& worker)
+void step_planner::mark_held_back(pool_worker& worker)
 {
     if (!this->is_held_back(worker))
     {
@@ -329,33 +547,40 @@
     }
 }
 
-void step_planner::hold_back_chosen(std::vector<std::string> const& chosen)
+void step_planner::hold_back(registry_step& step, pool_worker& worker)
+{
+    this->mark_held_back(worker);
+    step.planning.held_workers.push_back(worker.entry.id);
+}
+
+void step_planner::hold_back_chosen(
+    registry_step& step, std::vector<std::string> const& chosen)
 {
+    step.planning.found_capacity = true;
     if (!this->may_hold_back())
     {
         return;
     }
     for (std::string const& worker : chosen)
     {
-        this->hold_back(*this->state.pool.find(worker));
+        this->hold_back(step, *this->state.pool.find(worker));
     }
 }
 
-void step_planner::hold_back_for_gang(registry_step const& step,
-    placement_request const& request, bool needs_tickets)
+void step_planner::hold_back_for_gang(
+    registry_step& step, placement_request const& request, bool needs_tickets)
 {
     if (!this->may_hold_back())
     {
         return;
     }
     std::vector<std::pair<std::int64_t, pool_worker*>> freest;
-    time_point now = this->state.dependencies.loop.now();
-    for (auto& [id, worker] : this->state.pool.all())
+    for (usable_worker const& each : this->usable)
     {
-        bool eligible = worker.is_usable(now) &&
-                        is_eligible(worker.entry, request) &&
-                        this->accepts(worker, step) &&
-                        (!needs_tickets || step.advice.approved.contains(id));
+        pool_worker& worker = *each.worker;
+        bool eligible =
+            is_eligible(worker.entry, request) && this->accepts(worker, step) &&
+            (!needs_tickets || step.advice.approved.contains(worker.entry.id));
         if (eligible)
         {
             freest.emplace_back(worker.free.cpu_millis, &worker);
@@ -368,7 +593,7 @@
         std::pop_heap(freest.begin(), freest.end());
         pool_worker* worker = freest.back().second;
         freest.pop_back();
-        this->hold_back(*worker);
+        this->hold_back(step, *worker);
         // The whole capacity counts: the worker's current tasks will end, and
         // later steps of the pass cannot take their place.
         auto capacity = worker->entry.capacity.cpu_millis;
@@ -379,7 +604,7 @@
 }
 
 void step_planner::keep_for_isolation(
-    registry_step const& step, placement_request const& request)
+    registry_step& step, placement_request const& request)
 {
     time_point now = this->state.dependencies.loop.now();
     pool_worker* freest = nullptr;
@@ -407,6 +632,7 @@
             freest = &worker;
         }
     }
+    step.planning.isolation_demand = wanted;
     this->isolation_demand += wanted;
     std::size_t limit =
         std::max(wanted, this->state.pool.all().size() / workers_per_kept);
@@ -526,10 +752,13 @@
     demand.approval_share =
         this->state.approvals[job.record.queue.name].share();
     std::vector<advice_option> options;
-    for (auto const& [id, worker] : this->state.pool.all())
+    this->update_claims();
+    options.reserve(this->usable.size());
+    for (usable_worker const& each : this->usable)
     {
-        bool eligible = worker.is_usable(now) &&
-                        is_eligible(worker.entry, request) &&
+        pool_worker const& worker = *each.worker;
+        std::string const& id = worker.entry.id;
+        bool eligible = is_eligible(worker.entry, request) &&
                         worker.accepts(step.id.job, step.is_suspect());
         if (!eligible)
         {
@@ -537,13 +766,13 @@
         }
         std::uint32_t fitting_empty =
             tasks_that_fit(worker.entry, worker.entry.capacity, request);
-        if (step.advice.queried.contains(id))
+        if (!step.advice.queried.empty() && step.advice.queried.contains(id))
         {
             demand.fitting_approved_empty +=
                 step.advice.approved.contains(id) ? fitting_empty : 0;
             continue;
         }
-        resources unclaimed = worker.free - this->state.claims.on(id);
+        resources unclaimed = worker.free - each.claimed;
         options.push_back(
             {&id, tasks_that_fit(worker.entry, unclaimed, request),
                 fitting_empty, worker.free.cpu_millis});
@@ -561,6 +790,7 @@
                static_cast<std::int64_t>(workers.size());
     };
     resources const& need = request.need;
+    this->claims_changed = true;
     this->starter.request_advice(job, step, workers,
         {share(need.cpu_millis), share(need.memory_bytes),
             share(need.accelerators)});
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -7,12 +7,11 @@
 namespace
 {
 
-/// Sum of the estimates along the longest dependency path that starts with this
-/// step.
-std::int64_t remaining_path_ms(work_record const& record, std::uint32_t from)
+/// By step: the sum of the estimates along the longest dependency path that
+/// starts with the step. Steps only wait for earlier ones.
+std::vector<std::int64_t> remaining_paths_ms(work_record const& record)
 {
     std::vector<std::int64_t> longest(record.steps.size(), 0);
-    std::int64_t result = 0;
     for (std::size_t i = record.steps.size(); i-- > 0;)
     {
         longest[i] += record.steps[i].estimated_ms;
@@ -20,21 +19,6 @@
         {
             longest[earlier] = std::max(longest[earlier], longest[i]);
         }
-        if (i == from)
-        {
-            return longest[i];
-        }
-        result = std::max(result, longest[i]);
-    }
-    return result;
-}
-
-std::int64_t critical_path_ms(work_record const& record)
-{
-    std::int64_t longest = 0;
-    for (std::uint32_t i = 0; i < record.steps.size(); ++i)
-    {
-        longest = std::max(longest, remaining_path_ms(record, i));
     }
     return longest;
 }
@@ -67,6 +51,14 @@
     job.record = std::move(record);
     job.version = version;
     job.received = now;
+    job.dependents.resize(job.record.steps.size());
+    for (std::uint32_t i = 0; i < job.record.steps.size(); ++i)
+    {
+        for (std::uint32_t earlier : job.record.steps[i].after)
+        {
+            job.dependents[earlier].push_back(i);
+        }
+    }
     this->adjust_waiting_count(job, 1);
     if (job.record.repetitions == 0)
     {
@@ -139,16 +131,19 @@
     registry_job& job, std::uint32_t occurrence, time_point now)
 {
     std::vector<registry_step>& steps = job.occurrences[occurrence];
+    steps.reserve(job.record.steps.size());
     for (work_step const& spec : job.record.steps)
     {
         registry_step step;
         step.id = {job.record.id, occurrence,
             static_cast<std::uint32_t>(steps.size())};
         step.spec = &spec;
+        step.job = &job;
         step.tasks.resize(spec.tasks);
         step.waiting = spec.tasks;
         steps.push_back(std::move(step));
     }
+    set_ranks(job, steps);
     this->update_all_readiness(job, occurrence, now);
     std::vector<run_completion> const early = std::move(job.early_completions);
     job.early_completions.clear();
@@ -182,21 +177,29 @@
     this->record_completion(entry.task, entry.run, entry.outcome, now);
 }
 
-step_rank work_registry::rank_of(
-    registry_job const& job, registry_step const& step) const
+void work_registry::set_ranks(
+    registry_job const& job, std::vector<registry_step>& steps)
 {
-    std::int64_t due = job.record.accepted_ms;
-    if (job.record.repetitions > 0)
-    {
-        due = job.record.first_run_ms +
-              job.record.interval_ms * step.id.occurrence;
-    }
-    std::int64_t objective = job.record.queue.target_ms +
-                             critical_path_ms(job.record) *
-                                 job.record.queue.slack_permille / permille;
-    std::int64_t remaining = remaining_path_ms(job.record, step.id.step);
-    return {job.record.queue.priority, due + objective - remaining, step.id,
-        due + objective * useful_factor - remaining, step.spec->long_running};
+    work_record const& record = job.record;
+    std::vector<std::int64_t> const remaining = remaining_paths_ms(record);
+    std::int64_t critical = 0;
+    for (std::int64_t path : remaining)
+    {
+        critical = std::max(critical, path);
+    }
+    std::int64_t objective = record.queue.target_ms +
+                             critical * record.queue.slack_permille / permille;
+    for (registry_step& step : steps)
+    {
+        std::int64_t due =
+            record.repetitions > 0
+                ? record.first_run_ms + record.interval_ms * step.id.occurrence
+                : record.accepted_ms;
+        std::int64_t path = remaining[step.id.step];
+        step.rank = {record.queue.priority, due + objective - path, step.id,
+            due + objective * useful_factor - path, step.spec->long_running,
+            job.beyond_entitlement, &step};
+    }
 }
 
 bool work_registry::is_ready(
@@ -215,13 +218,12 @@
 void work_registry::update_readiness(
     registry_job& job, registry_step& step, time_point now)
 {
-    step_rank rank = this->rank_of(job, step);
     if (!this->is_ready(job, step))
     {
-        this->ready_steps.erase(rank);
+        this->ready_steps.erase(step.rank);
         return;
     }
-    if (this->ready_steps.insert(rank).second)
+    if (this->ready_steps.insert(step.rank).second)
     {
         step.ready_at = now;
     }
@@ -267,6 +269,7 @@
     }
     entry.worker.clear();
     ++step->waiting;
+    step->planning.has_event = true;
     // Keeps the time at which the step first became ready.
     this->update_readiness(*this->find(task.step.job), *step, step->ready_at);
 }
@@ -298,7 +301,16 @@
     {
         this->record_success(*step, entry);
         effect.step_done = step->done();
-        this->update_all_readiness(job, task.step.occurrence, now);
+        this->update_readiness(job, *step, step->ready_at);
+        if (effect.step_done)
+        {
+            std::vector<registry_step>& steps =
+                job.occurrences.at(task.step.occurrence);
+            for (std::uint32_t later : job.dependents[task.step.step])
+            {
+                this->update_readiness(job, steps[later], now);
+            }
+        }
         effect.job_ended = effect.step_done && this->finish_occurrence(job,
                                                    task.step.occurrence, now);
     }
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2375,3 +2375,38 @@
     fixture.run_for(4 * second);
     cr_assert(fixture.starts_of({{"gang", 0, 0}, 0}) == 1U);
 }
+
+Test(dispatcher, steps_that_no_worker_can_run_hide_no_later_job)
+{
+    // A pass that looks at the first few hundred steps never reaches the job.
+    cell_fixture fixture;
+    fixture.begin_term();
+    for (int i = 0; i < 450; ++i)
+    {
+        fixture.submit("blocked-" + std::to_string(i), 1,
+            [](work_record& record)
+            { record.steps.front().required_label = "none-has-it"; });
+    }
+    fixture.run_for(milliseconds(50));
+    fixture.submit(
+        "later", 1, [](work_record& record) { record.queue.priority = 2; });
+    fixture.run_for(milliseconds(50));
+    cr_assert(fixture.starts_of({{"later", 0, 0}, 0}) == 1U);
+}
+
+Test(dispatcher, a_late_step_soon_gets_capacity_that_becomes_free)
+{
+    // A step that is not due at the event which frees capacity is planned when
+    // it is due, not at some later event.
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    auto fill = [](work_record& record)
+    { record.steps.front().need.cpu_millis = worker_cpu; };
+    fixture.submit("first", 1, fill);
+    fixture.run_for(second);
+    fixture.submit("late", 1, fill);
+    fixture.run_for(second + milliseconds(10));
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(milliseconds(600));
+    cr_assert(fixture.starts_of({{"late", 0, 0}, 0}) == 1U);
+}
--- a/tests/unit/work_registry.tests.cpp
+++ b/tests/unit/work_registry.tests.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/cell/work_registry.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -258,3 +260,50 @@
     cr_assert(registry.ready().empty());
     cr_assert(registry.find("a")->state == work_state::succeeded);
 }
+
+Test(work_registry, a_rank_follows_the_paths_through_the_steps)
+{
+    // Steps: 0 -> 1 -> 3, 0 -> 2 of 500 ms each; the critical path has three.
+    work_registry registry;
+    registry.add(make_job("a", {make_step(1), make_step(1, {0}),
+                                   make_step(1, {0}), make_step(1, {1})}),
+        1, 0, now);
+    std::vector<std::int64_t> const expected{0, 500, 1000, 1000};
+    for (std::uint32_t i = 0; i < expected.size(); ++i)
+    {
+        cr_assert(registry.find(step_id{"a", 0, i})->rank.latest_start_ms ==
+                  expected[i]);
+    }
+}
+
+Test(work_registry, jobs_of_many_steps_are_added_and_run_within_a_second)
+{
+    // Ranks that are computed again for each step of a job at each change kept
+    // the leader busy for 8 s.
+    constexpr std::uint32_t steps = 700;
+    constexpr std::uint32_t dependencies = 20;
+    auto const before = std::chrono::steady_clock::now();
+    work_registry registry;
+    std::vector<work_step> wide;
+    for (std::uint32_t i = 0; i < steps; ++i)
+    {
+        std::vector<std::uint32_t> after;
+        for (std::uint32_t j = 1; j <= std::min(i, dependencies); ++j)
+        {
+            after.push_back(i - j);
+        }
+        wide.push_back(make_step(1, std::move(after)));
+    }
+    for (std::string const job : {"a", "b", "c"})
+    {
+        registry.add(make_job(job, wide), 1, 0, now);
+        for (std::uint32_t i = 0; i < steps; ++i)
+        {
+            cr_assert(registry.ready().size() == 1U);
+            run_once(registry, {{job, 0, i}, 0}, 1, run_outcome::succeeded);
+        }
+        cr_assert(registry.find(job)->state == work_state::succeeded);
+    }
+    cr_assert(
+        std::chrono::steady_clock::now() - before < std::chrono::seconds(1));
+}
