Caps of customers: what may be running for each is bounded

Cause: nothing limits how much of a cell one customer's tasks occupy. A customer that sends more work than agreed takes the capacity of the others.

Change: each allocation has the customer and the use of its run; worker_pool keeps the sum per customer. step_planner places no more tasks of a step than the cap in force allows (tasks_within_cap), with the wait reason customer_cap. A late start keeps both for its allocation after a restart, and a run that a successor finds gets them when its job is known. Until all workers have answered, and while the job of a run is not known, unseen_use adds an upper bound of what may run unseen. Jobs without a customer and customers without a cap are not affected.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -6,11 +6,13 @@
 /// later steps.
 #pragma once
 
+#include "toucanlever/cell/cap_log.hpp"
 #include "toucanlever/cell/placement_log.hpp"
 #include "toucanlever/cell/reserved_task_starter.hpp"
 #include "toucanlever/cell/step_order.hpp"
 #include "toucanlever/cell/step_placement.hpp"
 #include "toucanlever/cell/takeover_boundary.hpp"
+#include "toucanlever/cell/unseen_use.hpp"
 
 #include <memory>
 #include <string>
@@ -35,6 +37,10 @@
     /// several events.
     void schedule_pass();
 
+    /// To be called when a job was added: an earlier scheduler may have started
+    /// it on workers that have not answered.
+    void note_job_added(registry_job const& job);
+
 private:
     void run_pass();
     bool may_start(registry_job const& job) const;
@@ -42,6 +48,10 @@
     resources max_free() const;
     /// Returns why tasks of the step still wait; `none` when none does.
     wait_reason plan_step(step_rank const& rank);
+    /// How many waiting tasks of the step may be placed within the cap of the
+    /// job's customer. Notes when that are not all of them.
+    std::uint32_t tasks_within_cap_of(
+        registry_job const& job, registry_step const& step);
     placement_request make_request(
         registry_job const& job, registry_step const& step) const;
     /// True when advice about more workers can be requested now.
@@ -86,8 +96,8 @@
     {
         return worker.held_back_in_pass == this->pass;
     }
-    void allocate(registry_step& step, std::vector<std::string> const& chosen,
-        resources const& need);
+    void allocate(registry_job const& job, registry_step& step,
+        std::vector<std::string> const& chosen, resources const& need);
     /// The lowest run number of this leader term. For a whole gang, the lowest
     /// one that is also above the last runs of all its tasks.
     std::uint64_t next_run_number(
@@ -105,6 +115,8 @@
     reserved_task_starter& starter;
     placement_log& log;
     takeover_boundary boundary;
+    unseen_use unseen;
+    cap_log caps;
     bool enabled = false;
     bool pass_scheduled = false;
     // Number of the planning pass.
--- a/include/toucanlever/cell/wait_reason.hpp
+++ b/include/toucanlever/cell/wait_reason.hpp
@@ -30,7 +30,9 @@
     /// The last call for advice failed a moment ago.
     advice_failed,
     /// The policy approves no worker that has enough free capacity.
-    not_approved
+    not_approved,
+    /// More tasks would exceed the cap of the job's customer.
+    customer_cap
 };
 
 template <>
@@ -45,7 +47,8 @@
         row{wait_reason::advice_pending, "advice_pending"},
         row{wait_reason::no_advice_slot, "no_advice_slot"},
         row{wait_reason::advice_failed, "advice_failed"},
-        row{wait_reason::not_approved, "not_approved"}};
+        row{wait_reason::not_approved, "not_approved"},
+        row{wait_reason::customer_cap, "customer_cap"}};
 };
 
 /// The number of ready steps by the reason for which they wait.
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -47,6 +47,11 @@
 {
     std::uint64_t run = 0;
     resources need;
+    /// Whose run it is, and what it counts against the customer's cap: the
+    /// whole need of the task. Empty and zero for jobs without a customer and
+    /// while the job is not known.
+    std::string customer;
+    resources use;
     /// False while the job of a reported run has not been read from the store;
     /// `need` is zero then.
     bool need_known = true;
@@ -111,6 +116,9 @@
     task_id task;
     std::uint64_t run = 0;
     resources need;
+    /// As in `task_allocation`.
+    std::string customer;
+    resources use;
     time_point sent_at{};
 };
 
@@ -206,6 +214,18 @@
     void set_need(
         pool_worker& worker, task_id const& task, resources const& need);
 
+    /// Sets the customer and use of an allocation that was made before its job
+    /// was known.
+    void set_customer(pool_worker& worker, task_id const& task,
+        std::string const& customer, resources const& use);
+
+    /// What may be running for a customer: the sum of `use` over its
+    /// allocations.
+    resources usage_of(std::string const& customer) const;
+
+    /// True while some allocation has no known need.
+    bool has_unknown_needs() const { return this->unknown_needs > 0; }
+
     /// Isolates an allocation that was made before its job was known.
     void isolate(pool_worker& worker, task_id const& task);
 
@@ -224,7 +244,15 @@
         std::string const& worker, bool succeeded, time_point now);
 
 private:
+    void add_usage(task_allocation const& allocation);
+    void subtract_usage(task_allocation const& allocation);
+
     worker_map by_id;
+    // Invariant: by customer, the sum of `use` over its allocations; no entry
+    // where that is zero.
+    std::unordered_map<std::string, resources> usage;
+    // Invariant: the sum of `unknown_needs` over the workers.
+    std::size_t unknown_needs = 0;
     // All allocations, by task.
     std::set<std::pair<task_id, std::string>> holders;
 };
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -184,6 +184,7 @@
             this->state.dependencies.loop.now()))
     {
         metrics().count("jobs_accepted");
+        this->planner.note_job_added(*this->state.registry.find(id));
         this->reports.on_job_known(id);
         if (creates_occurrences)
         {
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/cell/step_planner.hpp"
 
+#include "toucanlever/cell/customer_cap.hpp"
+
 #include <algorithm>
 
 namespace toucanlever
@@ -38,6 +40,8 @@
     , log(log)
     , boundary(state.dependencies.loop, state.dependencies.store,
           state.dependencies.leader_lease_duration)
+    , unseen(state, roster,
+          [this](registry_job const& job) { return !this->may_start(job); })
 {
 }
 
@@ -71,6 +75,14 @@
         });
 }
 
+void step_planner::note_job_added(registry_job const& job)
+{
+    if (!job.record.customer.name.empty() && !this->may_start(job))
+    {
+        this->unseen.expire();
+    }
+}
+
 bool step_planner::may_start(registry_job const& job) const
 {
     if (this->roster.may_have_runs(job.record.id))
@@ -120,6 +132,7 @@
         }
     }
     this->release_kept_workers();
+    this->caps.end_pass(this->state.dependencies.loop.now());
 }
 
 resources step_planner::max_free() const
@@ -205,6 +218,36 @@
                advice_call_duration(job, 1));
 }
 
+std::uint32_t step_planner::tasks_within_cap_of(
+    registry_job const& job, registry_step const& step)
+{
+    customer_terms const& accepted = job.record.customer;
+    if (accepted.name.empty())
+    {
+        return step.waiting;
+    }
+    resources const& cap =
+        cap_in_force(accepted, this->state.dependencies.queues);
+    if (!limits_use(cap))
+    {
+        return step.waiting;
+    }
+    time_point now = this->state.dependencies.loop.now();
+    resources used = this->state.pool.usage_of(accepted.name);
+    if (unseen_use::is_needed(this->state.pool, this->roster))
+    {
+        used += this->unseen.of(accepted.name, now);
+    }
+    std::uint32_t tasks = tasks_within_cap(
+        cap, used, step.spec->need, step.waiting, step.spec->gang);
+    if (tasks < step.waiting)
+    {
+        this->caps.note_limited(
+            accepted.name, used.cpu_millis, cap.cpu_millis, now);
+    }
+    return tasks;
+}
+
 wait_reason step_planner::plan_step(step_rank const& rank)
 {
     registry_step* step = this->state.registry.find(rank.id);
@@ -226,6 +269,12 @@
         this->orders.stop_step(rank.id);
         return wait_reason::gang_ending;
     }
+    std::uint32_t const within_cap = this->tasks_within_cap_of(*job, *step);
+    if (within_cap == 0)
+    {
+        return wait_reason::customer_cap;
+    }
+    bool const is_limited = within_cap < step->waiting;
     bool needs_tickets = job->record.queue.advice.required;
     bool may_request_advice =
         needs_tickets && this->can_request_advice(*job, *step);
@@ -236,6 +285,7 @@
         return this->advice_wait(*job, *step);
     }
     placement_request request = this->make_request(*job, *step);
+    request.tasks = within_cap;
     request.allowed = [this, step](pool_worker const& worker)
     { return this->accepts(worker, *step); };
     if (needs_tickets)
@@ -268,12 +318,16 @@
         this->hold_back_chosen(chosen);
         return this->advice_wait(*job, *step);
     }
-    this->allocate(*step, chosen, request.need);
+    this->allocate(*job, *step, chosen, request.need);
     this->starter.start_reserved(*job, *step);
     if (step->waiting == 0)
     {
         return wait_reason::none;
     }
+    if (is_limited && chosen.size() == request.tasks)
+    {
+        return wait_reason::customer_cap;
+    }
     return needs_tickets ? this->advice_wait(*job, *step)
                          : wait_reason::no_capacity;
 }
@@ -455,7 +509,7 @@
     return last + 1;
 }
 
-void step_planner::allocate(registry_step& step,
+void step_planner::allocate(registry_job const& job, registry_step& step,
     std::vector<std::string> const& chosen, resources const& need)
 {
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
@@ -473,6 +527,8 @@
         wanted.run =
             step.spec->gang ? first_run : std::max(first_run, task.run + 1);
         wanted.need = need;
+        wanted.customer = job.record.customer.name;
+        wanted.use = step.spec->need;
         wanted.isolated = step.is_suspect();
         wanted.workers_of_gang = step.spec->gang ? workers.size() : 1;
         task_id id{step.id, i};
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -94,8 +94,9 @@
         [now, &task](late_start const& start) {
             return start.task == task || now >= start.sent_at + max_order_delay;
         });
-    pool_entry->late_starts.push_back({task, found->second.run,
-        found->second.need, found->second.start_sent_at});
+    pool_entry->late_starts.push_back(
+        {task, found->second.run, found->second.need, found->second.customer,
+            found->second.use, found->second.start_sent_at});
 }
 
 void task_orders::bar_late_starts(std::string const& worker)
@@ -114,6 +115,8 @@
         task_allocation allocation;
         allocation.run = start.run;
         allocation.need = start.need;
+        allocation.customer = start.customer;
+        allocation.use = start.use;
         allocation.phase = allocation_phase::stopping;
         allocation.start_sent_at = start.sent_at;
         allocation.unanswered_orders = 1;
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -62,7 +62,9 @@
     for (auto const& [task, allocation] : found->second.allocations)
     {
         this->holders.erase({task, id});
+        this->subtract_usage(allocation);
     }
+    this->unknown_needs -= found->second.unknown_needs;
     this->by_id.erase(found);
 }
 
@@ -93,6 +95,8 @@
     }
     worker.free -= wanted.need;
     worker.unknown_needs += wanted.need_known ? 0 : 1;
+    this->unknown_needs += wanted.need_known ? 0 : 1;
+    this->add_usage(wanted);
     worker.isolated_tasks += wanted.isolated ? 1 : 0;
     this->holders.insert({task, worker.entry.id});
     return place->second;
@@ -104,10 +108,49 @@
     task_allocation& allocation = worker.allocations.at(task);
     worker.free += allocation.need - need;
     worker.unknown_needs -= allocation.need_known ? 0 : 1;
+    this->unknown_needs -= allocation.need_known ? 0 : 1;
     allocation.need = need;
     allocation.need_known = true;
 }
 
+void worker_pool::set_customer(pool_worker& worker, task_id const& task,
+    std::string const& customer, resources const& use)
+{
+    task_allocation& allocation = worker.allocations.at(task);
+    this->subtract_usage(allocation);
+    allocation.customer = customer;
+    allocation.use = use;
+    this->add_usage(allocation);
+}
+
+resources worker_pool::usage_of(std::string const& customer) const
+{
+    auto found = this->usage.find(customer);
+    return found == this->usage.end() ? resources{} : found->second;
+}
+
+void worker_pool::add_usage(task_allocation const& allocation)
+{
+    if (!allocation.customer.empty() && allocation.use != resources{})
+    {
+        this->usage[allocation.customer] += allocation.use;
+    }
+}
+
+void worker_pool::subtract_usage(task_allocation const& allocation)
+{
+    if (allocation.customer.empty() || allocation.use == resources{})
+    {
+        return;
+    }
+    auto found = this->usage.find(allocation.customer);
+    found->second -= allocation.use;
+    if (found->second == resources{})
+    {
+        this->usage.erase(found);
+    }
+}
+
 void worker_pool::isolate(pool_worker& worker, task_id const& task)
 {
     task_allocation& allocation = worker.allocations.at(task);
@@ -129,6 +172,8 @@
     }
     target->free += found->second.need;
     target->unknown_needs -= found->second.need_known ? 0 : 1;
+    this->unknown_needs -= found->second.need_known ? 0 : 1;
+    this->subtract_usage(found->second);
     target->isolated_tasks -= found->second.isolated ? 1 : 0;
     target->allocations.erase(found);
     this->holders.erase({task, worker});
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -750,6 +750,8 @@
     if (step != nullptr)
     {
         this->state.pool.set_need(worker, id, step->spec->capacity_need());
+        this->state.pool.set_customer(
+            worker, id, job->record.customer.name, step->spec->need);
         if (step->is_suspect())
         {
             this->state.pool.isolate(worker, id);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2375,3 +2375,143 @@
     fixture.run_for(4 * second);
     cr_assert(fixture.starts_of({{"gang", 0, 0}, 0}) == 1U);
 }
+
+namespace
+{
+
+/// Gives a job to a customer with this cap of thousandths of a core.
+std::function<void(work_record&)> of_customer(
+    std::string const& name, std::int64_t cap_cpu, bool gang = false)
+{
+    return [name, cap_cpu, gang](work_record& record)
+    {
+        record.customer = {name, 1, {cap_cpu, 0, 0}};
+        record.steps.front().gang = gang;
+    };
+}
+
+/// Configures customer "c" with this cap; no customer with a cap of 0.
+void configure_cap(
+    cell_fixture& fixture, std::int64_t version, std::int64_t cap_cpu)
+{
+    cell_configuration configuration;
+    configuration.version = version;
+    if (cap_cpu > 0)
+    {
+        configuration.customers = {{{"c", 1, {cap_cpu, 0, 0}}, {}}};
+    }
+    cr_assert(fixture.queues.adopt(std::move(configuration)));
+}
+
+} // namespace
+
+// Guards against a step that starts beyond the cap, or stops at its first wave.
+Test(dispatcher, a_step_wider_than_its_customers_cap_runs_in_waves)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.submit("a", 8, of_customer("c", 3500));
+    for (std::size_t running : {3U, 3U, 2U})
+    {
+        fixture.run_for(second);
+        cr_assert(fixture.workers.running_count() == running);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.state_of("a") == work_state::succeeded);
+}
+
+// Guards against a gang that starts in part, and against one that keeps workers
+// from other customers while it waits for its cap.
+Test(dispatcher, a_gang_waits_as_a_whole_for_its_customers_cap)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2, of_customer("c", 4000));
+    fixture.run_for(second);
+    fixture.submit("gang", 3, of_customer("c", 4000, true));
+    fixture.submit("other", 6, of_customer("d", 0));
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 8U);
+    cr_assert(fixture.starts_of({{"gang", 0, 0}, 0}) == 0U);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 3U);
+}
+
+// Guards against a start in doubt that no longer counts.
+Test(dispatcher, an_order_in_doubt_counts_against_the_cap)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.workers.workers["w0"].withhold_replies = true;
+    fixture.workers.workers["w1"].withhold_replies = true;
+    fixture.submit("a", 1, of_customer("c", 1000));
+    fixture.run_for(second);
+    fixture.workers.workers["w0"].withhold_replies = false;
+    fixture.workers.workers["w1"].withhold_replies = false;
+    fixture.submit("b", 1, of_customer("c", 1000));
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 0U);
+    for (auto const& [id, worker] : fixture.workers.workers)
+    {
+        fixture.workers.deliver_delayed_starts(id);
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
+// Guards against the cap at acceptance taking precedence, and against a removed
+// customer without any.
+Test(dispatcher, the_cap_in_force_applies_and_the_records_after_a_removal)
+{
+    cell_fixture fixture;
+    configure_cap(fixture, 1, 4000);
+    fixture.begin_term();
+    fixture.submit("a", 12, of_customer("c", 3000));
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    configure_cap(fixture, 2, 1000);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    fixture.workers.end_all_runs(run_outcome::succeeded);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 1U);
+    configure_cap(fixture, 3, 0);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 3U);
+}
+
+// Guards against a successor that starts a customer's cap again beside the runs
+// that it has not seen, and against one that then lets the customer stall.
+Test(dispatcher, runs_that_a_successor_has_not_seen_count_against_the_cap)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.submit("a", 4, of_customer("c", 4000));
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    std::string const holder = fixture.workers.all_starts.front().first;
+    fixture.end_term();
+    fixture.workers.workers[holder].silent = true;
+    fixture.begin_term();
+    fixture.run_for(2 * second);
+    fixture.submit("b", 2, of_customer("c", 4000));
+    fixture.submit("d", 2, of_customer("d", 4000));
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 0U);
+    cr_assert(fixture.starts_of({{"d", 0, 0}, 0}) == 1U);
+    fixture.workers.workers[holder].silent = false;
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 0U);
+    for (std::uint32_t i = 0; i < 3; ++i)
+    {
+        fixture.workers.end_run(
+            holder, {{"a", 0, 0}, i}, run_outcome::succeeded);
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 1}) == 1U);
+}
