Entitlements and fair shares of customers: the state behind the order

Cause: the planning order cannot tell what a customer submits beyond its weight, nor which customers use more than their share of a full cell.

Change: entitlement_meter decides when the leader adds a job whether `weight` or more jobs of the customer were accepted in the second up to it; the registry keeps the flag and copies it into the ranks of the job's steps. Nothing orders by either yet. Metric jobs_beyond_entitlement.

Nothing tests the order in which rows of the store are added.

--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -7,6 +7,7 @@
 /// started.
 #pragma once
 
+#include "toucanlever/cell/entitlement_meter.hpp"
 #include "toucanlever/cell/record_follower.hpp"
 #include "toucanlever/cell/row_cleaner.hpp"
 #include "toucanlever/cell/step_planner.hpp"
@@ -49,7 +50,10 @@
 
 private:
     void on_job_rows(std::vector<record> const& rows);
-    void on_job_row(record const& row);
+    /// Reads the job of a row; no value when it is to be ignored.
+    std::optional<work_record> read_job_row(record const& row);
+    /// True when the job is beyond what its customer is entitled to submit.
+    bool is_beyond_entitlement(work_record const& job);
     void add_job(work_record record, std::int64_t version);
     void load_if_complete();
     void replay_journal();
@@ -64,6 +68,7 @@
     placement_log log;
     step_planner planner;
     worker_reports reports;
+    entitlement_meter entitlements;
     std::unique_ptr<record_follower> job_follower;
     std::unique_ptr<record_scan> journal_scan;
     std::optional<std::vector<record>> journal_rows;
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -169,7 +169,7 @@
     /// Adds a job; false when it is known already. A known job keeps the lower
     /// of the two versions.
     bool add(work_record record, std::int64_t version, std::int64_t wall_ms,
-        time_point now);
+        time_point now, bool beyond_entitlement = false);
 
     registry_job* find(std::string const& job);
     registry_step* find(step_id const& step);
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -6,6 +6,8 @@
 #include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
@@ -78,14 +80,27 @@
 
 void dispatcher::on_job_rows(std::vector<record> const& rows)
 {
+    std::vector<std::pair<work_record, std::int64_t>> added;
     for (record const& row : rows)
     {
         std::string const& key = row.at.key;
-        if (!row.removed && !key.ends_with(tables::cancel_suffix))
+        if (row.removed || key.ends_with(tables::cancel_suffix))
+        {
+            continue;
+        }
+        if (auto job = this->read_job_row(row))
         {
-            this->on_job_row(row);
+            added.emplace_back(std::move(*job), row.version);
         }
     }
+    // What a customer is entitled to depends on its earlier jobs.
+    std::stable_sort(added.begin(), added.end(),
+        [](auto const& left, auto const& right)
+        { return left.first.accepted_ms < right.first.accepted_ms; });
+    for (auto& [job, version] : added)
+    {
+        this->add_job(std::move(job), version);
+    }
     for (record const& row : rows)
     {
         std::string const& key = row.at.key;
@@ -101,7 +116,7 @@
     this->load_if_complete();
 }
 
-void dispatcher::on_job_row(record const& row)
+std::optional<work_record> dispatcher::read_job_row(record const& row)
 {
     try
     {
@@ -111,7 +126,7 @@
         // those of jobs that ended long ago.
         if (!this->cleaner.is_forgotten(row.at.key))
         {
-            this->add_job(std::move(job), row.version);
+            return job;
         }
     }
     catch (error const& problem)
@@ -121,6 +136,7 @@
             .with("job", row.at.key)
             .with("problem", problem.what());
     }
+    return std::nullopt;
 }
 
 void dispatcher::load_if_complete()
@@ -176,12 +192,33 @@
     }
 }
 
+bool dispatcher::is_beyond_entitlement(work_record const& job)
+{
+    customer_terms const& accepted = job.customer;
+    // A job that is known already has been counted.
+    if (accepted.name.empty() || this->state.registry.find(job.id) != nullptr)
+    {
+        return false;
+    }
+    customer_terms const* configured =
+        this->state.dependencies.queues.customer_of(accepted.name);
+    bool is_beyond = this->entitlements.add(accepted.name,
+        configured != nullptr ? configured->weight : accepted.weight,
+        job.accepted_ms);
+    if (is_beyond)
+    {
+        metrics().count("jobs_beyond_entitlement");
+    }
+    return is_beyond;
+}
+
 void dispatcher::add_job(work_record record, std::int64_t version)
 {
     std::string id = record.id;
+    bool const is_beyond = this->is_beyond_entitlement(record);
     bool creates_occurrences = record.repetitions > 0;
     if (this->state.registry.add(std::move(record), version, wall_time_ms(),
-            this->state.dependencies.loop.now()))
+            this->state.dependencies.loop.now(), is_beyond))
     {
         metrics().count("jobs_accepted");
         this->planner.note_job_added(*this->state.registry.find(id));
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 bool work_registry::add(work_record record, std::int64_t version,
-    std::int64_t wall_ms, time_point now)
+    std::int64_t wall_ms, time_point now, bool beyond_entitlement)
 {
     std::string id = record.id;
     auto [place, inserted] = this->jobs.try_emplace(id);
@@ -67,6 +67,7 @@
     job.record = std::move(record);
     job.version = version;
     job.received = now;
+    job.beyond_entitlement = beyond_entitlement;
     this->adjust_waiting_count(job, 1);
     if (job.record.repetitions == 0)
     {
@@ -196,7 +197,8 @@
                                  job.record.queue.slack_permille / permille;
     std::int64_t remaining = remaining_path_ms(job.record, step.id.step);
     return {job.record.queue.priority, due + objective - remaining, step.id,
-        due + objective * useful_factor - remaining, step.spec->long_running};
+        due + objective * useful_factor - remaining, step.spec->long_running,
+        job.beyond_entitlement};
 }
 
 bool work_registry::is_ready(
--- a/src/policy/share_queue.cpp
+++ b/src/policy/share_queue.cpp
@@ -1,6 +1,7 @@
 #include "policy/share_queue.hpp"
 
-#include <algorithm>
+#include "toucanlever/core/dominant_share.hpp"
+
 #include <limits>
 
 namespace toucanlever
@@ -15,17 +16,7 @@
 double share_queue::share_of(
     customer_state const& state, resources const& used) const
 {
-    double dominant = 0.0;
-    for (std::size_t d = 0; d < resources::dimensions; ++d)
-    {
-        if (this->total.at(d) > 0)
-        {
-            dominant =
-                std::max(dominant, static_cast<double>(used.at(d)) /
-                                       static_cast<double>(this->total.at(d)));
-        }
-    }
-    return dominant / static_cast<double>(state.weight);
+    return weighted_dominant_share(used, this->total, state.weight);
 }
 
 std::int64_t share_queue::weight_of(std::string const& customer) const
