Tests of entitlements in the order of acceptance, and of waves under a changed cap

Cause: nothing tested the order in which rows of the store are added, and the waves of a step were tested apart from the cap in force.

Change: a test of stored jobs whose keys and acceptances are in opposite order; the test of waves is joined with that of a lowered cap and a removed customer, with all its checks.

--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2405,22 +2405,6 @@
 
 } // namespace
 
-// Guards against a step that starts beyond the cap, or stops at its first wave.
-Test(dispatcher, a_step_wider_than_its_customers_cap_runs_in_waves)
-{
-    cell_fixture fixture;
-    fixture.begin_term();
-    fixture.submit("a", 8, of_customer("c", 3500));
-    for (std::size_t running : {3U, 3U, 2U})
-    {
-        fixture.run_for(second);
-        cr_assert(fixture.workers.running_count() == running);
-        fixture.workers.end_all_runs(run_outcome::succeeded);
-    }
-    fixture.run_for(second);
-    cr_assert(fixture.state_of("a") == work_state::succeeded);
-}
-
 // Guards against a gang that starts in part, and against one that keeps workers
 // from other customers while it waits for its cap.
 Test(dispatcher, a_gang_waits_as_a_whole_for_its_customers_cap)
@@ -2444,17 +2428,18 @@
 {
     cell_fixture fixture(2);
     fixture.begin_term();
-    fixture.workers.workers["w0"].withhold_replies = true;
-    fixture.workers.workers["w1"].withhold_replies = true;
+    for (auto& [id, worker] : fixture.workers.workers)
+    {
+        worker.withhold_replies = true;
+    }
     fixture.submit("a", 1, of_customer("c", 1000));
     fixture.run_for(second);
-    fixture.workers.workers["w0"].withhold_replies = false;
-    fixture.workers.workers["w1"].withhold_replies = false;
     fixture.submit("b", 1, of_customer("c", 1000));
     fixture.run_for(second);
     cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 0U);
-    for (auto const& [id, worker] : fixture.workers.workers)
+    for (auto& [id, worker] : fixture.workers.workers)
     {
+        worker.withhold_replies = false;
         fixture.workers.deliver_delayed_starts(id);
     }
     fixture.run_for(second);
@@ -2464,12 +2449,12 @@
     cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
 }
 
-// Guards against the cap at acceptance taking precedence, and against a removed
-// customer without any.
-Test(dispatcher, the_cap_in_force_applies_and_the_records_after_a_removal)
+// Guards against a step that starts beyond the cap or stops after a wave, the
+// cap at acceptance taking precedence, and a removed customer without any.
+Test(dispatcher, a_step_wider_than_the_cap_in_force_runs_in_waves)
 {
     cell_fixture fixture;
-    configure_cap(fixture, 1, 4000);
+    configure_cap(fixture, 1, 4500);
     fixture.begin_term();
     fixture.submit("a", 12, of_customer("c", 3000));
     fixture.run_for(second);
@@ -2481,8 +2466,13 @@
     fixture.run_for(second);
     cr_assert(fixture.workers.running_count() == 1U);
     configure_cap(fixture, 3, 0);
-    fixture.run_for(second);
-    cr_assert(fixture.workers.running_count() == 3U);
+    for (std::size_t running : {3U, 3U, 2U, 0U})
+    {
+        fixture.run_for(second);
+        cr_assert(fixture.workers.running_count() == running);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+    }
+    cr_assert(fixture.state_of("a") == work_state::succeeded);
 }
 
 // Guards against a successor that starts a customer's cap again beside the runs
@@ -2515,3 +2505,22 @@
     fixture.run_for(second);
     cr_assert(fixture.starts_of({{"b", 0, 0}, 1}) == 1U);
 }
+
+// Guards against a successor that measures entitlements in the order of keys.
+Test(dispatcher, stored_jobs_are_measured_in_the_order_of_their_acceptance)
+{
+    cell_fixture fixture(0);
+    for (std::int64_t accepted_ms : {2000, 1500})
+    {
+        fixture.submit(accepted_ms == 2000 ? "a" : "b", 1,
+            [accepted_ms](work_record& record)
+            {
+                record.customer.name = "c";
+                record.accepted_ms = accepted_ms;
+            });
+    }
+    std::string const counted = "jobs_beyond_entitlement 1\n";
+    cr_assert(metrics().prometheus().find(counted) == std::string::npos);
+    fixture.begin_term();
+    cr_assert(metrics().prometheus().find(counted) != std::string::npos);
+}
