--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -15,15 +15,18 @@
 /// between two of its plannings.
 #pragma once
 
+#include "toucanlever/cell/cap_log.hpp"
 #include "toucanlever/cell/placement_log.hpp"
 #include "toucanlever/cell/reserved_task_starter.hpp"
 #include "toucanlever/cell/step_order.hpp"
 #include "toucanlever/cell/step_placement.hpp"
 #include "toucanlever/cell/takeover_boundary.hpp"
+#include "toucanlever/cell/unseen_use.hpp"
 
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace toucanlever
@@ -45,12 +48,9 @@
     /// several events.
     void schedule_pass();
 
-    /// Sets the test that the planning order uses; without it, no customer uses
-    /// more than its fair share.
-    void set_share_test(share_test test)
-    {
-        this->is_over_share = std::move(test);
-    }
+    /// To be called when a job was added: an earlier scheduler may have started
+    /// it on workers that have not answered.
+    void note_job_added(registry_job const& job);
 
 private:
     /// The ready steps of a pass.
@@ -77,6 +77,10 @@
     /// Reads the claims again if calls were made since.
     void update_claims();
     ready_steps select_steps(time_point now, std::int64_t wall_ms);
+    /// The customers with due steps that use more than their fair share of the
+    /// usable workers; none while no customer is configured.
+    std::unordered_set<std::string> customers_over_share(
+        ready_steps const& steps) const;
     /// True when the step's turn in its current round has not come yet.
     bool is_left_in_round(
         registry_step const& step, start_prospect prospect) const;
@@ -97,6 +101,10 @@
     bool may_start(registry_job const& job) const;
     /// Returns why tasks of the step still wait; `none` when none does.
     wait_reason plan_step(step_rank const& rank);
+    /// How many waiting tasks of the step may be placed within the cap of the
+    /// job's customer. Notes when that are not all of them.
+    std::uint32_t tasks_within_cap_of(
+        registry_job const& job, registry_step const& step);
     placement_request make_request(
         registry_job const& job, registry_step const& step) const;
     /// True when advice about more workers can be requested now.
@@ -143,8 +151,8 @@
     {
         return worker.held_back_in_pass == this->pass;
     }
-    void allocate(registry_step& step, std::vector<std::string> const& chosen,
-        resources const& need);
+    void allocate(registry_job const& job, registry_step& step,
+        std::vector<std::string> const& chosen, resources const& need);
     /// The lowest run number of this leader term. For a whole gang, the lowest
     /// one that is also above the last runs of all its tasks.
     std::uint64_t next_run_number(
@@ -162,9 +170,10 @@
     reserved_task_starter& starter;
     placement_log& log;
     takeover_boundary boundary;
+    unseen_use unseen;
+    cap_log caps;
     bool enabled = false;
     bool pass_scheduled = false;
-    share_test is_over_share;
     // The timer for the next due step, and its time; 0 while there is none.
     event_loop::timer_id due_timer = 0;
     time_point due_timer_at{};
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -1,5 +1,7 @@
 #include "toucanlever/cell/step_planner.hpp"
 
+#include "toucanlever/cell/customer_cap.hpp"
+#include "toucanlever/cell/fair_share.hpp"
 #include "toucanlever/core/metrics.hpp"
 
 #include <algorithm>
@@ -51,6 +53,8 @@
     , log(log)
     , boundary(state.dependencies.loop, state.dependencies.store,
           state.dependencies.leader_lease_duration)
+    , unseen(state, roster,
+          [this](registry_job const& job) { return !this->may_start(job); })
 {
 }
 
@@ -84,6 +88,14 @@
         });
 }
 
+void step_planner::note_job_added(registry_job const& job)
+{
+    if (!job.record.customer.name.empty() && !this->may_start(job))
+    {
+        this->unseen.expire();
+    }
+}
+
 bool step_planner::may_start(registry_job const& job) const
 {
     if (this->roster.may_have_runs(job.record.id))
@@ -116,15 +128,23 @@
     this->next_due_at = time_point::max();
     resources const largest_free = this->find_usable_workers();
     ready_steps const steps = this->select_steps(now, wall_ms);
+    auto const over_share = this->customers_over_share(steps);
+    share_test is_over_share;
+    if (!over_share.empty())
+    {
+        is_over_share = [&over_share](step_rank const& rank)
+        { return over_share.contains(rank.step->job->record.customer.name); };
+    }
     std::size_t left = this->plan_in_order(
-        order_steps(steps.candidates, wall_ms, this->is_over_share),
-        largest_free, now, wall_ms);
+        order_steps(steps.candidates, wall_ms, is_over_share), largest_free,
+        now, wall_ms);
     for (registry_step const* step : steps.skipped)
     {
         this->log.note_skipped(*step);
     }
     this->log.note_unplanned(left);
     this->release_kept_workers();
+    this->caps.end_pass(this->state.dependencies.loop.now());
     metrics().count("placement_searches", this->searches);
     if (left > 0)
     {
@@ -199,6 +219,34 @@
     return steps;
 }
 
+std::unordered_set<std::string> step_planner::customers_over_share(
+    ready_steps const& steps) const
+{
+    queue_directory const& queues = this->state.dependencies.queues;
+    if (queues.customers().empty())
+    {
+        return {};
+    }
+    resources capacity;
+    for (usable_worker const& each : this->usable)
+    {
+        capacity += each.worker->entry.capacity;
+    }
+    std::unordered_set<std::string_view> seen;
+    std::vector<customer_usage> waiting;
+    for (step_rank const* rank : steps.candidates)
+    {
+        std::string const& name = rank->step->job->record.customer.name;
+        customer_terms const* terms = queues.customer_of(name);
+        if (terms != nullptr && seen.insert(name).second)
+        {
+            waiting.push_back(
+                {name, terms->weight, this->state.pool.usage_of(name)});
+        }
+    }
+    return customers_above_share(waiting, capacity);
+}
+
 bool step_planner::is_left_in_round(
     registry_step const& step, start_prospect prospect) const
 {
@@ -422,6 +470,36 @@
                advice_call_duration(job, 1));
 }
 
+std::uint32_t step_planner::tasks_within_cap_of(
+    registry_job const& job, registry_step const& step)
+{
+    customer_terms const& accepted = job.record.customer;
+    if (accepted.name.empty())
+    {
+        return step.waiting;
+    }
+    resources const& cap =
+        cap_in_force(accepted, this->state.dependencies.queues);
+    if (!limits_use(cap))
+    {
+        return step.waiting;
+    }
+    time_point now = this->state.dependencies.loop.now();
+    resources used = this->state.pool.usage_of(accepted.name);
+    if (unseen_use::is_needed(this->state.pool, this->roster))
+    {
+        used += this->unseen.of(accepted.name, now);
+    }
+    std::uint32_t tasks = tasks_within_cap(
+        cap, used, step.spec->need, step.waiting, step.spec->gang);
+    if (tasks < step.waiting)
+    {
+        this->caps.note_limited(
+            accepted.name, used.cpu_millis, cap.cpu_millis, now);
+    }
+    return tasks;
+}
+
 wait_reason step_planner::plan_step(step_rank const& rank)
 {
     registry_step* step = this->state.registry.find(rank.id);
@@ -443,6 +521,12 @@
         this->orders.stop_step(rank.id);
         return wait_reason::gang_ending;
     }
+    std::uint32_t const within_cap = this->tasks_within_cap_of(*job, *step);
+    if (within_cap == 0)
+    {
+        return wait_reason::customer_cap;
+    }
+    bool const is_limited = within_cap < step->waiting;
     bool needs_tickets = job->record.queue.advice.required;
     bool may_request_advice =
         needs_tickets && this->can_request_advice(*job, *step);
@@ -453,6 +537,7 @@
         return this->advice_wait(*job, *step);
     }
     placement_request request = this->make_request(*job, *step);
+    request.tasks = within_cap;
     request.allowed = [this, step](pool_worker const& worker)
     { return this->accepts(worker, *step); };
     if (needs_tickets)
@@ -486,12 +571,16 @@
         this->hold_back_chosen(*step, chosen);
         return this->advice_wait(*job, *step);
     }
-    this->allocate(*step, chosen, request.need);
+    this->allocate(*job, *step, chosen, request.need);
     this->starter.start_reserved(*job, *step);
     if (step->waiting == 0)
     {
         return wait_reason::none;
     }
+    if (is_limited && chosen.size() == request.tasks)
+    {
+        return wait_reason::customer_cap;
+    }
     return needs_tickets ? this->advice_wait(*job, *step)
                          : wait_reason::no_capacity;
 }
@@ -681,7 +770,7 @@
     return last + 1;
 }
 
-void step_planner::allocate(registry_step& step,
+void step_planner::allocate(registry_job const& job, registry_step& step,
     std::vector<std::string> const& chosen, resources const& need)
 {
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
@@ -699,6 +788,8 @@
         wanted.run =
             step.spec->gang ? first_run : std::max(first_run, task.run + 1);
         wanted.need = need;
+        wanted.customer = job.record.customer.name;
+        wanted.use = step.spec->need;
         wanted.isolated = step.is_suspect();
         wanted.workers_of_gang = step.spec->gang ? workers.size() : 1;
         task_id id{step.id, i};
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 bool work_registry::add(work_record record, std::int64_t version,
-    std::int64_t wall_ms, time_point now)
+    std::int64_t wall_ms, time_point now, bool beyond_entitlement)
 {
     std::string id = record.id;
     auto [place, inserted] = this->jobs.try_emplace(id);
@@ -59,6 +59,7 @@
             job.dependents[earlier].push_back(i);
         }
     }
+    job.beyond_entitlement = beyond_entitlement;
     this->adjust_waiting_count(job, 1);
     if (job.record.repetitions == 0)
     {
