--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -32,14 +32,18 @@
 
 /// The active scheduler's reply to `member_hello`: the instances that sent a
 /// hello recently, the time since it sent the last heartbeat that the store
-/// confirmed, and the configuration in force there.
+/// confirmed, the configuration in force there, and the time since that was
+/// confirmed to be the newest one.
 struct member_list
 {
     std::vector<member_hello> members;
     std::int64_t heartbeat_age_ms = 0;
     std::int64_t config_version = 0;
+    /// -1 when it is not known.
+    std::int64_t config_confirmed_age_ms = -1;
 
-    MSGPACK_DEFINE(members, heartbeat_age_ms, config_version)
+    MSGPACK_DEFINE(
+        members, heartbeat_age_ms, config_version, config_confirmed_age_ms)
 };
 
 /// Tells a member that another configuration is in force at the active
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -74,6 +74,13 @@
     /// again while the store is unavailable.
     bool can_accept();
 
+    /// True when an earlier submission of this job ended as unknown on this
+    /// instance. No caller may then be told that the job has not run.
+    bool is_in_doubt(std::string const& job) const
+    {
+        return this->acceptor.is_in_doubt(job);
+    }
+
     /// Refuses relayed orders from now on and resigns as the active scheduler;
     /// `done` is called afterwards.
     void shut_down(std::function<void()> done);
@@ -93,7 +100,8 @@
 
     void send_hello();
     void handle_hello(member_hello const& hello);
-    void handle_member_list(rpc_result const& result);
+    /// `sent_at` is when the hello was sent.
+    void handle_member_list(rpc_result const& result, time_point sent_at);
     /// Tells the active scheduler, or all members while this instance is the
     /// active scheduler, that another configuration is in force.
     void announce_configuration();
--- a/include/toucanlever/cell/configuration_exchange.hpp
+++ b/include/toucanlever/cell/configuration_exchange.hpp
@@ -37,6 +37,17 @@
     /// expected to deliver it.
     void handle_peer_version(std::int64_t peer_version, rpc_client& peer);
 
+    /// How long ago the version in force here was confirmed to be the newest
+    /// one, in milliseconds, rounded up; -1 when it never was.
+    std::int64_t confirmed_age_ms() const;
+
+    /// Another instance replied to a message that was sent at `sent_at` that
+    /// `version` was confirmed `age_ms` before the reply; -1 for unknown. The
+    /// confirmation is dated back to the sending, because it is not known how
+    /// long the reply took.
+    void handle_confirmation(
+        std::int64_t version, std::int64_t age_ms, time_point sent_at);
+
     /// The reply to another instance's query.
     configuration_reply reply_to(configuration_query const& query) const;
 
--- a/include/toucanlever/cell/configuration_follower.hpp
+++ b/include/toucanlever/cell/configuration_follower.hpp
@@ -15,7 +15,9 @@
 namespace toucanlever
 {
 
-/// Decodes the operator's document; nothing when it is malformed.
+/// Decodes the operator's document; nothing when it is malformed. Throws an
+/// `error` that names the field when a field is invalid; the message contains
+/// no key of a customer.
 using configuration_decoder =
     std::function<std::optional<cell_configuration>(std::string const& text)>;
 
@@ -41,8 +43,9 @@
     void on_adopted(std::function<void()> handler);
 
     /// Puts the document into force if its version is higher; `origin` names in
-    /// the log where it came from.
-    void adopt(std::string const& document, std::string_view origin);
+    /// the log where it came from. A document that is malformed or invalid
+    /// changes nothing; returns false for it.
+    bool adopt(std::string const& document, std::string_view origin);
 
     queue_directory const& queues() const { return this->directory; }
 
@@ -52,6 +55,16 @@
     /// False while the store does not answer: a newer version may exist then.
     bool is_confirmed() const;
 
+    /// All versions that the store acknowledged before this time are in force
+    /// here or were replaced; nothing when that was never confirmed. It stays
+    /// while the document in the store is a rejected one, which may remove
+    /// keys.
+    std::optional<time_point> confirmed_time() const;
+
+    /// Another instance has confirmed that `version` was the newest one at
+    /// `time`. Ignored while an older version is in force here.
+    void attest(std::int64_t version, time_point time);
+
 private:
     void apply_rows(std::vector<record> const& rows, bool complete);
     void check_delay();
@@ -62,9 +75,14 @@
     // The document of the version in `directory`.
     std::string current;
     std::function<void()> adopted_handler;
-    // When the call was sent that confirmed the version in force, as of the
-    // last check. A version that is adopted now was written after it.
+    // When the last call was sent that the store answered, as of the last
+    // check. A version that is adopted now was written after it.
     time_point confirmed_at{};
+    // The value of `confirmed_time` as of the last check, or a later
+    // attestation.
+    std::optional<time_point> last_confirmed;
+    // The document that the store delivered last is malformed or invalid.
+    bool store_document_rejected = false;
     bool reported_unconfirmed = false;
     time_point last_check{};
     // Declared after the members that its callback uses: a store may answer at
--- a/include/toucanlever/cell/job_acceptor.hpp
+++ b/include/toucanlever/cell/job_acceptor.hpp
@@ -64,6 +64,10 @@
         return this->in_doubt_jobs.contains(job);
     }
 
+    /// Notes that a submission of this job ended as unknown; the oldest notes
+    /// are dropped when there are very many.
+    void remember_in_doubt(std::string const& job);
+
     /// Checks by a read whether the store has recovered; does nothing while
     /// such a read is in flight or has only just ended.
     void probe();
@@ -84,7 +88,6 @@
     void complete_submissions(
         std::vector<submission> batch, change_result const& result);
     void reject_unsent();
-    void remember_in_doubt(std::string const& job);
     void retry();
 
     event_loop& loop;
--- a/include/toucanlever/http/status.hpp
+++ b/include/toucanlever/http/status.hpp
@@ -6,6 +6,7 @@
 
 inline constexpr int ok = 200;
 inline constexpr int bad_request = 400;
+inline constexpr int unauthorized = 401;
 inline constexpr int not_found = 404;
 inline constexpr int method_not_allowed = 405;
 inline constexpr int conflict = 409;
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -157,11 +157,12 @@
             : 0;
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
-        [this, alive = this->alive](rpc_result const& result)
+        [this, sent_at = this->dependencies.loop.now(), alive = this->alive](
+            rpc_result const& result)
         {
             if (*alive)
             {
-                this->handle_member_list(result);
+                this->handle_member_list(result, sent_at);
             }
         });
 }
@@ -208,7 +209,7 @@
     }
 }
 
-void cell_node::handle_member_list(rpc_result const& result)
+void cell_node::handle_member_list(rpc_result const& result, time_point sent_at)
 {
     this->leader_replied_at.reset();
     try
@@ -218,6 +219,8 @@
         this->leader_replied_at = this->dependencies.loop.now();
         this->leader_heartbeat_age = milliseconds(answer.heartbeat_age_ms);
         this->discovery->add_members(answer.members);
+        this->exchange.handle_confirmation(
+            answer.config_version, answer.config_confirmed_age_ms, sent_at);
         if (this->leader_client)
         {
             this->exchange.handle_peer_version(
@@ -315,7 +318,8 @@
     metrics().count("jobs_forwarded");
     this->leader_client->request(message_type::work_submit,
         pack(work_submit{record, timeout.count()}), timeout,
-        [done = std::move(done), in_doubt](rpc_result const& result)
+        [this, job = record.id, done = std::move(done), in_doubt,
+            alive = this->alive](rpc_result const& result)
         {
             accept_result accepted;
             bool answered =
@@ -335,6 +339,10 @@
             {
                 accepted.outcome = accept_outcome::unknown;
             }
+            if (*alive && accepted.outcome == accept_outcome::unknown)
+            {
+                this->acceptor.remember_in_doubt(job);
+            }
             done(accepted);
         });
 }
@@ -640,7 +648,7 @@
         respond(message_type::member_list,
             pack(member_list{this->members->list(),
                 this->election->heartbeat_age().count(),
-                this->exchange.version()}));
+                this->exchange.version(), this->exchange.confirmed_age_ms()}));
         return;
     case message_type::work_accepted:
     {
--- a/src/cell/configuration_exchange.cpp
+++ b/src/cell/configuration_exchange.cpp
@@ -7,6 +7,9 @@
 
 /// How long a store that answers is given to deliver a version.
 constexpr milliseconds store_head_start{400};
+/// Confirmations older than this are of no use to any revocation bound. Also
+/// keeps the arithmetic on ages from other instances within its range.
+constexpr std::int64_t max_confirmed_age_ms = 600'000;
 
 } // namespace
 
@@ -42,6 +45,24 @@
            now - this->newest_known_at >= store_head_start;
 }
 
+std::int64_t configuration_exchange::confirmed_age_ms() const
+{
+    std::optional<time_point> confirmed = this->configuration.confirmed_time();
+    return confirmed
+               ? std::chrono::ceil<milliseconds>(this->loop.now() - *confirmed)
+                     .count()
+               : -1;
+}
+
+void configuration_exchange::handle_confirmation(
+    std::int64_t version, std::int64_t age_ms, time_point sent_at)
+{
+    if (age_ms >= 0 && age_ms <= max_confirmed_age_ms)
+    {
+        this->configuration.attest(version, sent_at - milliseconds(age_ms));
+    }
+}
+
 configuration_reply configuration_exchange::reply_to(
     configuration_query const& query) const
 {
--- a/src/cell/configuration_follower.cpp
+++ b/src/cell/configuration_follower.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/cell/configuration_follower.hpp"
 
+#include "toucanlever/core/error.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
@@ -57,16 +58,48 @@
     return this->follower.is_following();
 }
 
-void configuration_follower::adopt(
+std::optional<time_point> configuration_follower::confirmed_time() const
+{
+    if (this->store_document_rejected || !this->follower.has_snapshot())
+    {
+        return this->last_confirmed;
+    }
+    // An empty optional is less than any time.
+    return std::max(
+        this->last_confirmed, std::optional(this->follower.fresh_at()));
+}
+
+void configuration_follower::attest(std::int64_t version, time_point time)
+{
+    if (version > 0 && this->directory.version() >= version &&
+        this->confirmed_time() < time)
+    {
+        this->last_confirmed = time;
+        metrics().count("config_attested");
+    }
+}
+
+bool configuration_follower::adopt(
     std::string const& document, std::string_view origin)
 {
-    auto configuration = this->source.decode(document);
+    std::optional<cell_configuration> configuration;
+    try
+    {
+        configuration = this->source.decode(document);
+    }
+    catch (error const& problem)
+    {
+        log_line("config-refused")
+            .with("source", origin)
+            .with("problem", problem.what());
+        return false;
+    }
     if (!configuration)
     {
         log_line("config-unreadable")
             .with("source", origin)
             .with("bytes", document.size());
-        return;
+        return false;
     }
     std::int64_t previous = this->directory.version();
     std::int64_t version = configuration->version;
@@ -77,7 +110,7 @@
             .with("version", version)
             .with("in_force", previous)
             .with("source", origin);
-        return;
+        return true;
     }
     this->current = document;
     metrics().set("config_version", version);
@@ -91,6 +124,7 @@
     {
         this->adopted_handler();
     }
+    return true;
 }
 
 void configuration_follower::apply_rows(
@@ -100,7 +134,7 @@
     {
         if (!row.removed && row.at.key == this->source.key)
         {
-            this->adopt(
+            this->store_document_rejected = !this->adopt(
                 row.value, complete ? "store-snapshot" : "store-change");
         }
     }
@@ -117,6 +151,7 @@
     }
     this->confirmed_at =
         std::max(this->confirmed_at, this->follower.fresh_at());
+    this->last_confirmed = this->confirmed_time();
     auto unconfirmed =
         std::chrono::duration_cast<milliseconds>(now - this->confirmed_at);
     metrics().observe("config_unconfirmed_ms", unconfirmed.count());
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -179,6 +179,14 @@
         this->store.set({"op", "", "config"}, std::to_string(version));
     }
 
+    /// How old the confirmation of an instance's configuration is.
+    milliseconds confirmed_age(std::size_t node)
+    {
+        auto confirmed = this->followers[node]->confirmed_time();
+        return std::chrono::duration_cast<milliseconds>(
+            this->loop.now() - confirmed.value_or(time_point{}));
+    }
+
     static record_key leader_row_key() { return {"leader", "main", "holder"}; }
 
     static constexpr int count = 3;
@@ -380,3 +388,36 @@
         }
     }
 }
+
+// Guards against keys that end, or stay, at an instance without the store.
+Test(cell_node, the_leader_confirms_the_configuration_of_a_member)
+{
+    // Two waits of the leader's calls for changes, and two hello periods.
+    milliseconds const undisturbed_age{3000};
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    std::size_t isolated = (leader + 1) % 3;
+    cell.configure(4);
+    cell.run_for(milliseconds(300));
+    cell.stores[isolated]->disconnected = true;
+    for (int i = 0; i < 20; ++i)
+    {
+        cell.run_for(milliseconds(500));
+        cr_assert(cell.confirmed_age(isolated) < undisturbed_age);
+    }
+    // The process is frozen between a hello and its reply.
+    cell.time.advance(milliseconds(10000));
+    cr_assert(cell.confirmed_age(isolated) >= milliseconds(10000));
+    cell.run_for(milliseconds(3000));
+    cr_assert(cell.confirmed_age(isolated) < undisturbed_age);
+    // Without the store, nobody can confirm anything.
+    for (auto& store : cell.stores)
+    {
+        store->disconnected = true;
+    }
+    cell.run_for(milliseconds(7000));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        cr_assert(cell.confirmed_age(i) > milliseconds(4900));
+    }
+}
