Tests of attestations in transit, forwarded doubt and the bound's setting

Cause: no test noticed an attestation dated to the reply instead of the hello, or a forwarded submission without an answer that is not remembered.

Change: a test of each, and of the range of revocation_bound_ms.

--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -421,3 +421,16 @@
         cr_assert(cell.confirmed_age(i) > milliseconds(4900));
     }
 }
+
+// Guards against an answer that denies a job that the leader may have stored.
+Test(cell_node, a_forwarded_submission_without_an_answer_is_in_doubt)
+{
+    three_instance_cell cell;
+    std::size_t isolated = (cell.find_leader() + 1) % 3;
+    cell.stores[isolated]->disconnected = true;
+    cell.submit(isolated, "first");
+    cr_assert_not(cell.nodes[isolated]->is_in_doubt("first"));
+    cell.store.lose_answers = 100;
+    cr_assert(cell.submit(isolated, "second") == accept_outcome::unknown);
+    cr_assert(cell.nodes[isolated]->is_in_doubt("second"));
+}
--- a/tests/unit/configuration_exchange.tests.cpp
+++ b/tests/unit/configuration_exchange.tests.cpp
@@ -305,3 +305,25 @@
     cr_assert(cell.version() == 9);
     cr_assert(cell.relay.forwarded_bytes < 1'000'000);
 }
+
+// Guards against a reply that was long on its way and is taken for a recent
+// confirmation, and against values that no instance sends.
+Test(configuration_exchange, a_confirmation_counts_from_the_sending_of_a_hello)
+{
+    manual_clock time;
+    event_loop loop{time};
+    time.advance(std::chrono::hours(1));
+    configured_instance member(loop);
+    member.store.unavailable = true;
+    member.follower.adopt("4", "peer");
+    time.advance(milliseconds(7000));
+    time_point now = loop.now();
+    member.exchange.handle_confirmation(4, 300, now - milliseconds(200));
+    cr_assert(member.exchange.confirmed_age_ms() == 500);
+    for (std::int64_t age : {std::int64_t(-1), INT64_MIN, INT64_MAX})
+    {
+        member.exchange.handle_confirmation(4, age, now);
+    }
+    member.exchange.handle_confirmation(5, 0, now);
+    cr_assert(member.exchange.confirmed_age_ms() == 500);
+}
--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -330,6 +330,10 @@
                              "peer_address: 127.0.0.1:3\n"
                              "store_address: 127.0.0.1:4\n";
     cr_assert(settings_problem(good) == "accepted");
+    std::string const bound = good + "revocation_bound_ms: ";
+    cr_assert(settings_problem(bound + "5000\n") == "accepted");
+    cr_assert(
+        settings_problem(bound + "-1\n").find(":7:") != std::string::npos);
     std::string bad = settings_problem(good + "store_adress: 127.0.0.1:4\n");
     cr_assert(bad.find(":7:") != std::string::npos);
     cr_assert(bad.find("store_adress") != std::string::npos);
