Test that a late start after a restart counts against the cap

Cause: the use of a late start is copied into the allocation that bars it, and nothing tested that.

Change: a test in which the restarted worker falls silent before the stop of the late start is known to be over. It fails without the copied use.

--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2449,6 +2449,35 @@
     cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
 }
 
+// Guards against a late start on a restarted worker that no longer counts.
+Test(dispatcher, a_late_start_after_a_restart_counts_against_the_cap)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.delay_starts = true;
+    fixture.submit("a", 1, of_customer("c", 2000));
+    fixture.run_for(milliseconds(50));
+    fixture.list_worker("w0", true);
+    fixture.list_worker("w1");
+    // The stop is confirmed, and the task is started elsewhere.
+    fixture.run_for(2 * second);
+    cr_assert(fixture.workers.workers["w1"].running.size() == 1U);
+    worker = fake_cell_worker{};
+    worker.started_ms = 2;
+    while (worker.barred.empty())
+    {
+        fixture.run_for(milliseconds(10));
+    }
+    worker.silent = true;
+    fixture.submit("b", 1, of_customer("c", 2000));
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 0U);
+    worker.silent = false;
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"b", 0, 0}, 0}) == 1U);
+}
+
 // Guards against a step that starts beyond the cap or stops after a wave, the
 // cap at acceptance taking precedence, and a removed customer without any.
 Test(dispatcher, a_step_wider_than_the_cap_in_force_runs_in_waves)
