Planner: events count within a round; a delayed step needs no event

Cause: within a round of several passes, a step that had been planned in it did not get its turn again after one of its tasks was returned or its advice was answered. No test covered the timer for the next due step.

Change: such a step is planned in the same round. A test plans a late step again without any event.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -77,7 +77,8 @@
     /// Reads the claims again if calls were made since.
     void update_claims();
     ready_steps select_steps(time_point now, std::int64_t wall_ms);
-    /// True when the step's turn in its current round has not come yet.
+    /// True when the step was not planned in its current round, or an event
+    /// has concerned it since.
     bool is_left_in_round(
         registry_step const& step, start_prospect prospect) const;
     /// Plans the steps until the time of the pass is used up. Returns the
--- a/include/toucanlever/cell/step_planning.hpp
+++ b/include/toucanlever/cell/step_planning.hpp
@@ -59,7 +59,7 @@
     start_prospect group = start_prospect::in_time;
     time_point planned_at{};
     time_point not_before{};
-    /// The last round in which it was planned.
+    /// The last round in which it was planned; 0 while it waits for advice.
     std::uint64_t round = 0;
     /// Held back for the step until it is planned again, waits no longer, or
     /// `hold_duration` has passed.
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -202,8 +202,9 @@
 bool step_planner::is_left_in_round(
     registry_step const& step, start_prospect prospect) const
 {
-    return step.planning.round !=
-           (is_urgent(step.rank, prospect) ? this->urgent_round : this->round);
+    std::uint64_t current =
+        is_urgent(step.rank, prospect) ? this->urgent_round : this->round;
+    return step.planning.has_event || step.planning.round != current;
 }
 
 std::size_t step_planner::plan_in_order(
--- a/src/cell/step_planning.cpp
+++ b/src/cell/step_planning.cpp
@@ -46,11 +46,15 @@
     bool is_delayed = !this->found_capacity && may_be_delayed(this->group);
     switch (outcome)
     {
+    case wait_reason::advice_pending:
+        // The answer makes it due in the same round.
+        this->round = 0;
+        is_delayed = false;
+        break;
     case wait_reason::none:
     case wait_reason::not_planned:
     case wait_reason::predecessor_unknown:
     case wait_reason::gang_ending:
-    case wait_reason::advice_pending:
         is_delayed = false;
         break;
     case wait_reason::no_advice_slot:
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2396,8 +2396,8 @@
 
 Test(dispatcher, a_late_step_soon_gets_capacity_that_becomes_free)
 {
-    // A step that is not due at the event which frees capacity is planned when
-    // it is due, not at some later event.
+    // A delay between the plannings of a late step must not outlast the event
+    // which frees capacity for it.
     cell_fixture fixture(1);
     fixture.begin_term();
     auto fill = [](work_record& record)
--- a/tests/unit/step_planner.tests.cpp
+++ b/tests/unit/step_planner.tests.cpp
@@ -137,6 +137,21 @@
     cr_assert(planned >= 9 && planned <= 11);
 }
 
+Test(step_planner, a_delayed_step_is_planned_again_without_an_event)
+{
+    // The event that freed its capacity may have come while it was not due.
+    planner_fixture fixture;
+    registry_step const& late = fixture.add("late", -1);
+    fixture.plan();
+    time_point const before = late.planning.planned_at;
+    for (int i = 0; i < 12; ++i)
+    {
+        fixture.time.time.advance(milliseconds(10));
+        fixture.loop.run_ready();
+    }
+    cr_assert(late.planning.planned_at > before);
+}
+
 Test(step_planner, a_returned_task_makes_its_step_due_at_once)
 {
     planner_fixture fixture;
