--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -81,7 +81,8 @@
     /// usable workers; none while no customer is configured.
     std::unordered_set<std::string> customers_over_share(
         ready_steps const& steps) const;
-    /// True when the step's turn in its current round has not come yet.
+    /// True when the step was not planned in its current round, or an event
+    /// has concerned it since.
     bool is_left_in_round(
         registry_step const& step, start_prospect prospect) const;
     /// Plans the steps until the time of the pass is used up. Returns the
