Only jobs beyond a customer's entitlement wait behind those of others

Cause: each accepted job counted, so that a customer at a steady 5 times its weight had almost all its jobs beyond its entitlement, not only the excess.

Change: entitlement_meter counts the jobs that are within the entitlement.

--- a/include/toucanlever/cell/entitlement_meter.hpp
+++ b/include/toucanlever/cell/entitlement_meter.hpp
@@ -18,8 +18,10 @@
 {
 public:
     /// Adds a job. Returns true when it is beyond its customer's entitlement:
-    /// `weight` or more jobs of the customer that were added before were
-    /// accepted in the second up to its acceptance.
+    /// `weight` or more jobs of the customer that were added before, and are
+    /// not beyond it themselves, were accepted in the second up to its
+    /// acceptance. So a customer at several times its rate keeps its
+    /// entitlement.
     bool add(std::string const& customer, std::int64_t weight,
         std::int64_t accepted_ms);
 
--- a/src/cell/entitlement_meter.cpp
+++ b/src/cell/entitlement_meter.cpp
@@ -25,13 +25,16 @@
     auto place = std::upper_bound(times.begin(), times.end(), accepted_ms);
     auto first = std::upper_bound(times.begin(), place, accepted_ms - span_ms);
     bool is_beyond = place - first >= weight;
-    times.insert(place, accepted_ms);
+    if (!is_beyond)
+    {
+        times.insert(place, accepted_ms);
+    }
     // In both directions, so that a clock that was ahead has no lasting effect.
-    while (times.front() <= accepted_ms - retention_ms)
+    while (!times.empty() && times.front() <= accepted_ms - retention_ms)
     {
         times.pop_front();
     }
-    while (times.back() >= accepted_ms + retention_ms)
+    while (!times.empty() && times.back() >= accepted_ms + retention_ms)
     {
         times.pop_back();
     }
@@ -45,8 +48,12 @@
 void entitlement_meter::remove_idle_customers(std::int64_t accepted_ms)
 {
     this->removed_at_ms = accepted_ms;
-    std::erase_if(this->accepted, [accepted_ms](auto const& each)
-        { return std::abs(each.second.back() - accepted_ms) >= retention_ms; });
+    std::erase_if(this->accepted,
+        [accepted_ms](auto const& each)
+        {
+            return each.second.empty() ||
+                   std::abs(each.second.back() - accepted_ms) >= retention_ms;
+        });
 }
 
 } // namespace toucanlever
--- a/tests/unit/entitlement.tests.cpp
+++ b/tests/unit/entitlement.tests.cpp
@@ -9,13 +9,15 @@
 
 using namespace toucanlever;
 
-// Guards against a window that is longer or shorter than a second.
+// Guards against a window that is longer or shorter than a second, and against
+// a customer that loses its whole entitlement by submitting more.
 Test(entitlement, jobs_beyond_the_weight_in_any_second_are_beyond)
 {
     entitlement_meter meter;
     cr_assert(meter.add("c", 2, 10000) == false);
     cr_assert(meter.add("c", 2, 10500) == false);
     cr_assert(meter.add("c", 2, 10999));
+    cr_assert(meter.add("c", 2, 11499) == false);
     cr_assert(meter.add("c", 2, 11499));
     cr_assert(meter.add("c", 2, 12000) == false);
     cr_assert(meter.add("small", 1, 12000) == false);
