Admission control by an estimate of the backlog

Cause: when callers send more than the cell can do, it accepts jobs that can only end when they are of no use, and their callers learn of it by waiting.

Change: every 250 ms the leader estimates for each queue how long a new job would wait (`backlog_forecast`), and its replies to hellos carry the estimates. Entry instances reject submissions that would be useless with 503, and late ones of customers beyond their weight with 429, both with `Retry-After` spread by the job's id (`admission_control`). One rejection in 16 is accepted as a probe. The setting `admission_control` is off by default; nothing is computed or sent then.

The rate left for a queue excludes completions of higher priority over the last 5 s, because such work that is submitted later also comes first. While nothing waits, the rate counts as the usable capacity.

--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -30,16 +30,27 @@
     MSGPACK_DEFINE(name, address, config_version, candidate_cpu_millis)
 };
 
+/// How long a new job of a queue would wait for capacity.
+struct queue_estimate
+{
+    std::string queue;
+    std::int64_t wait_ms = 0;
+
+    MSGPACK_DEFINE(queue, wait_ms)
+};
+
 /// The active scheduler's reply to `member_hello`: the instances that sent a
 /// hello recently, the time since it sent the last heartbeat that the store
-/// confirmed, and the configuration in force there.
+/// confirmed, the configuration in force there, and the estimates of its
+/// backlog, none where admission control is off.
 struct member_list
 {
     std::vector<member_hello> members;
     std::int64_t heartbeat_age_ms = 0;
     std::int64_t config_version = 0;
+    std::vector<queue_estimate> estimates;
 
-    MSGPACK_DEFINE(members, heartbeat_age_ms, config_version)
+    MSGPACK_DEFINE(members, heartbeat_age_ms, config_version, estimates)
 };
 
 /// Tells a member that another configuration is in force at the active
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -6,6 +6,7 @@
 /// active scheduler, or from the store while there is none.
 #pragma once
 
+#include "toucanlever/cell/admission_control.hpp"
 #include "toucanlever/cell/cancellation_notices.hpp"
 #include "toucanlever/cell/cell_settings.hpp"
 #include "toucanlever/cell/configuration_exchange.hpp"
@@ -49,6 +50,11 @@
         cell_node_dependencies collaborators, cell_settings const& settings);
     ~cell_node() override;
 
+    /// Decides whether a submission is to be rejected because of the cell's
+    /// backlog; to be asked before `submit`. Rejects nothing unless the setting
+    /// `admission_control` is on.
+    admission_decision admit(work_record const& record);
+
     /// Stores a job and announces it to the active scheduler. When this
     /// instance cannot reach the store, the active scheduler is asked to store
     /// the job. `timeout` is the time limit for both attempts together.
@@ -100,7 +106,7 @@
     void close_leader_link();
     void send_hello();
     void handle_hello(member_hello const& hello);
-    void handle_member_list(rpc_result const& result);
+    void handle_member_list(rpc_result const& result, time_point asked_at);
     /// Tells the active scheduler, or all members while this instance is the
     /// active scheduler, that another configuration is in force.
     void announce_configuration();
@@ -142,6 +148,7 @@
     cell_settings settings;
     configuration_exchange exchange;
     job_acceptor acceptor;
+    admission_control admission;
     cancellation_notices cancellations;
     std::unique_ptr<rpc_server> server;
     // The link to the active scheduler when that is another instance.
--- a/include/toucanlever/cell/cell_settings.hpp
+++ b/include/toucanlever/cell/cell_settings.hpp
@@ -34,6 +34,9 @@
     milliseconds revocation_bound{0};
     /// How long a query for the state of an open job waits for its outcome.
     milliseconds status_wait{0};
+    /// Rejects submissions that would be of no use to their caller because of
+    /// the cell's backlog.
+    bool admission_control = false;
 
     bool operator==(cell_settings const&) const = default;
 };
--- a/include/toucanlever/cell/dispatch_state.hpp
+++ b/include/toucanlever/cell/dispatch_state.hpp
@@ -5,6 +5,7 @@
 #include "toucanlever/cell/advice_broker.hpp"
 #include "toucanlever/cell/advice_claims.hpp"
 #include "toucanlever/cell/advice_query.hpp"
+#include "toucanlever/cell/backlog_forecast.hpp"
 #include "toucanlever/cell/completion_journal.hpp"
 #include "toucanlever/cell/queue_directory.hpp"
 #include "toucanlever/cell/work_registry.hpp"
@@ -46,6 +47,8 @@
     milliseconds ended_job_retention{120000};
     /// Logs each start, stop and completion of a run and each advice answer.
     bool log_decisions = true;
+    /// Estimates the backlog of each queue for admission control.
+    bool forecasts_backlog = false;
 };
 
 /// What the external policy was asked in this leader term.
@@ -79,6 +82,7 @@
     advice_claims claims;
     /// By queue.
     std::map<std::string, approval_estimate> approvals;
+    backlog_forecast forecast{};
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -52,6 +52,10 @@
     /// the store was last read so long ago that jobs may be missing.
     std::optional<std::uint64_t> waiting_jobs(std::string const& queue) const;
 
+    /// Without estimates until everything in the store has been read, and when
+    /// the backlog is not forecast.
+    backlog_forecast const& forecast() const { return this->state.forecast; }
+
     /// True once everything in the store has been read.
     bool is_loaded() const { return this->loaded; }
 
@@ -62,6 +66,7 @@
     void load_if_complete();
     void replay_journal();
     void sweep();
+    void update_forecast();
 
     dispatch_state state;
     waiting_queries queries;
--- a/include/toucanlever/cell/queue_directory.hpp
+++ b/include/toucanlever/cell/queue_directory.hpp
@@ -67,6 +67,11 @@
     /// The terms of a customer; null when the customer is not configured.
     customer_terms const* customer_of(std::string const& name) const;
 
+    std::vector<queue_route> const& routes() const
+    {
+        return this->current.routes;
+    }
+
     std::vector<customer> const& customers() const
     {
         return this->current.customers;
--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -107,9 +107,12 @@
     /// The customer that submitted it, as configured then. Absent in rows of
     /// earlier versions.
     customer_terms customer;
+    /// Accepted although the estimated backlog spoke against it, to see whether
+    /// the estimate is right. Absent in rows of earlier versions.
+    bool is_admission_probe = false;
 
     MSGPACK_DEFINE(id, queue, payload, steps, repetitions, first_run_ms,
-        interval_ms, accepted_ms, customer)
+        interval_ms, accepted_ms, customer, is_admission_probe)
 };
 
 /// Names a step of one occurrence of a job.
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -79,6 +79,9 @@
         completion_receipt const& receipt, completed_run const& completion);
     void settle_completion(
         std::string const& worker, completion_receipt const& receipt);
+    /// Counts the work of a run that succeeded for the backlog forecast.
+    void note_completed_work(
+        completed_run const& completion, completion_effect const& effect);
     void on_job_ended(std::string const& id);
     void record_completion(std::string const& worker,
         completion_receipt const& receipt, completed_run const& completion,
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -91,7 +91,8 @@
         [this] { return this->election->may_start_work(); },
         leadership::leader_lease_duration, *this->election,
         [this] { return this->election->lease_limit(); },
-        this->settings.keep_ended, this->settings.log_decisions};
+        this->settings.keep_ended, this->settings.log_decisions,
+        this->settings.admission_control};
     this->scheduler = std::make_unique<dispatcher>(std::move(scheduling), proof,
         [this](std::string const& reason)
         {
@@ -170,11 +171,12 @@
             : 0;
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
-        [this, alive = this->alive](rpc_result const& result)
+        [this, asked_at = this->dependencies.loop.now(), alive = this->alive](
+            rpc_result const& result)
         {
             if (*alive)
             {
-                this->handle_member_list(result);
+                this->handle_member_list(result, asked_at);
             }
         });
 }
@@ -221,7 +223,8 @@
     }
 }
 
-void cell_node::handle_member_list(rpc_result const& result)
+void cell_node::handle_member_list(
+    rpc_result const& result, time_point asked_at)
 {
     this->leader_replied_at.reset();
     try
@@ -231,6 +234,7 @@
         this->leader_replied_at = this->dependencies.loop.now();
         this->leader_heartbeat_age = milliseconds(answer.heartbeat_age_ms);
         this->discovery->add_members(answer.members);
+        this->admission.set_estimates(answer.estimates, asked_at);
         if (this->leader_client)
         {
             this->exchange.handle_peer_version(
@@ -279,6 +283,23 @@
 // ---------------------------------------------------------------------------
 // Callers
 
+admission_decision cell_node::admit(work_record const& record)
+{
+    if (!this->settings.admission_control)
+    {
+        return {};
+    }
+    if (this->scheduler)
+    {
+        backlog_forecast const& forecast = this->scheduler->forecast();
+        this->admission.set_estimates(
+            forecast.estimates(), forecast.updated_at_time());
+    }
+    // A job that may be stored must not be reported as rejected.
+    return this->admission.decide(record, this->acceptor.is_in_doubt(record.id),
+        this->dependencies.loop.now());
+}
+
 void cell_node::submit(work_record record, milliseconds timeout,
     std::function<void(accept_result)> done)
 {
@@ -658,7 +679,8 @@
         respond(message_type::member_list,
             pack(member_list{this->members->list(),
                 this->election->heartbeat_age().count(),
-                this->exchange.version()}));
+                this->exchange.version(),
+                this->scheduler->forecast().estimates()}));
         return;
     case message_type::work_accepted:
     {
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -6,6 +6,8 @@
 #include "toucanlever/core/metrics.hpp"
 #include "toucanlever/wire/codec.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
@@ -275,7 +277,50 @@
     metrics().set("steps_ready",
         static_cast<std::int64_t>(this->state.registry.ready().size()));
     this->log.write_summary();
+    this->update_forecast();
     this->planner.schedule_pass();
 }
 
+void dispatcher::update_forecast()
+{
+    if (!this->loaded || !this->state.dependencies.forecasts_backlog)
+    {
+        return;
+    }
+    time_point now = this->state.dependencies.loop.now();
+    std::int64_t wall_ms = wall_time_ms();
+    std::vector<waiting_work> waiting;
+    for (step_rank const& rank : this->state.registry.ready())
+    {
+        start_prospect prospect = prospect_of(rank, wall_ms);
+        bool in_time = prospect == start_prospect::in_time;
+        bool comes_first = in_time || prospect == start_prospect::late;
+        // A long-running step takes capacity away; it is no work that ends.
+        if (!comes_first || rank.beyond_entitlement || rank.long_running)
+        {
+            continue;
+        }
+        registry_step const& step = *this->state.registry.find(rank.id);
+        waiting.push_back({rank.priority, rank.latest_start_ms, in_time,
+            step.waiting, step.spec->capacity_need().cpu_millis,
+            step.spec->estimated_ms});
+    }
+    forecast_capacity capacity;
+    for (auto const& [id, worker] : this->state.pool.all())
+    {
+        if (worker.is_usable(now))
+        {
+            capacity.usable += worker.entry.capacity.cpu_millis;
+            capacity.free += std::max<std::int64_t>(0, worker.free.cpu_millis);
+        }
+    }
+    std::vector<forecast_queue> queues;
+    for (queue_route const& route : this->state.dependencies.queues.routes())
+    {
+        queues.push_back(
+            {route.terms.name, route.terms.priority, route.terms.target_ms});
+    }
+    this->state.forecast.update(waiting, capacity, queues, wall_ms, now);
+}
+
 } // namespace toucanlever
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/cell/task_orders.hpp"
 
+#include "toucanlever/cell/job_objective.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
@@ -254,6 +255,10 @@
         this->send_stop(worker, task);
         return;
     }
+    if (!job->started && is_started_in_vain(job->record, wall_time_ms()))
+    {
+        metrics().count("jobs_accepted_in_vain");
+    }
     this->state.registry.mark_started(*job);
     job->state = work_state::running;
 }
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/cell/worker_reports.hpp"
 
+#include "toucanlever/cell/job_objective.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
@@ -592,6 +593,7 @@
         effect = this->state.registry.record_completion(
             completion.task, completion.run, completion.outcome, now);
         this->record_completion(worker, receipt, completion, effect.job_ended);
+        this->note_completed_work(completion, effect);
     }
     if (completion.outcome == run_outcome::succeeded)
     {
@@ -607,13 +609,37 @@
     }
 }
 
+void worker_reports::note_completed_work(
+    completed_run const& completion, completion_effect const& effect)
+{
+    if (completion.outcome != run_outcome::succeeded || !effect.current)
+    {
+        return;
+    }
+    registry_step const& step =
+        *this->state.registry.find(completion.task.step);
+    // The success of one task of a gang completes all of them.
+    auto tasks =
+        static_cast<std::uint32_t>(step.spec->gang ? step.tasks.size() : 1);
+    registry_job const& job =
+        *this->state.registry.find(completion.task.step.job);
+    this->state.forecast.note_completed(job.record.queue.priority, tasks,
+        step.spec->capacity_need().cpu_millis, step.spec->estimated_ms);
+}
+
 void worker_reports::on_job_ended(std::string const& id)
 {
     registry_job const& job = *this->state.registry.find(id);
+    std::int64_t after_ms = wall_time_ms() - job.record.accepted_ms;
     log_line("job-ended")
         .with("job", id)
         .with("state", name_of(job.state))
-        .with("after_ms", wall_time_ms() - job.record.accepted_ms);
+        .with("after_ms", after_ms);
+    if (job.record.is_admission_probe && job.state == work_state::succeeded &&
+        after_ms <= objective_of(job.record).useful_ms())
+    {
+        metrics().count("admission_probes_of_use");
+    }
     if (job.state == work_state::failed)
     {
         this->orders.stop_job(id);
