No backlog estimate while workers have not answered

Cause: after a failover, jobs that run on workers which the successor has not heard yet look like waiting work, and the capacity of these workers is missing. The estimate would have submissions rejected after each failover, and without any usable worker it would be an hour.

Change: the leader computes no estimate until all workers have answered, nor while there is no usable capacity; instances then reject nothing. The unit tests of the dispatcher run with the forecast on.

--- a/include/toucanlever/cell/backlog_forecast.hpp
+++ b/include/toucanlever/cell/backlog_forecast.hpp
@@ -70,6 +70,7 @@
         std::vector<forecast_queue> const& queues, std::int64_t wall_ms,
         time_point now);
 
+    /// Empty while there is no usable capacity.
     std::vector<queue_estimate> const& estimates() const
     {
         return this->current;
--- a/src/cell/backlog_forecast.cpp
+++ b/src/cell/backlog_forecast.cpp
@@ -173,6 +173,12 @@
         (step.in_time ? in_time : late).add(step);
     }
     this->current.clear();
+    // Without usable workers, as after a failed read of their list, nothing is
+    // known about the time until there are some.
+    if (capacity.usable <= 0)
+    {
+        return;
+    }
     for (forecast_queue const& queue : queues)
     {
         std::int64_t const rate = this->rate_for(queue.priority);
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -283,7 +283,10 @@
 
 void dispatcher::update_forecast()
 {
-    if (!this->loaded || !this->state.dependencies.forecasts_backlog)
+    // Until all workers have answered, the jobs that run on the others seem to
+    // wait, and their capacity seems to be missing.
+    if (!this->loaded || !this->state.dependencies.forecasts_backlog ||
+        !this->roster.is_reconciled())
     {
         return;
     }
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -113,7 +113,7 @@
             },
             [this] { return this->may_start; }, milliseconds(1300),
             this->heartbeat, [this] { return this->lease_limit; },
-            milliseconds(60000), false};
+            milliseconds(60000), false, true};
         this->term = std::make_unique<dispatcher>(std::move(parts),
             leader_proof{this->fencing_token, version},
             [this](std::string const&) { ++this->replaced; });
@@ -313,6 +313,36 @@
     cr_assert(state == work_state::succeeded);
 }
 
+// Guards against a successor that takes the runs of workers that it has not
+// heard for waiting work, and has submissions rejected after each failover.
+Test(dispatcher, the_backlog_is_estimated_once_all_workers_have_answered)
+{
+    cell_fixture fixture;
+    cell_configuration configuration;
+    configuration.version = 1;
+    configuration.routes.resize(1);
+    configuration.routes[0].terms.name = "q";
+    configuration.routes[0].terms.target_ms = 10000;
+    fixture.queues.adopt(configuration);
+    fixture.begin_term();
+    // A wave of tasks on 16 cores, and two that wait behind it.
+    fixture.submit("a", 48,
+        [](work_record& job)
+        {
+            job.accepted_ms = wall_time_ms();
+            job.queue.target_ms = 9000;
+            job.steps[0].estimated_ms = 500;
+        });
+    fixture.run_for(second);
+    cr_assert(fixture.term->forecast().estimates().at(0).wait_ms >= 1000);
+    fixture.end_term();
+    fixture.workers.workers.begin()->second.silent = true;
+    fixture.begin_term();
+    fixture.run_for(second);
+    cr_assert(fixture.term->is_loaded());
+    cr_assert(fixture.term->forecast().estimates().empty());
+}
+
 Test(dispatcher, never_exceeds_the_capacity_of_workers)
 {
     cell_fixture fixture(2);
