--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -91,7 +91,8 @@
         [this] { return this->election->may_start_work(); },
         leadership::leader_lease_duration, *this->election,
         [this] { return this->election->lease_limit(); },
-        this->settings.keep_ended, this->settings.log_decisions};
+        this->settings.keep_ended, this->settings.log_decisions,
+        this->settings.admission_control};
     this->scheduler = std::make_unique<dispatcher>(std::move(scheduling), proof,
         [this](std::string const& reason)
         {
@@ -234,6 +235,7 @@
         this->discovery->add_members(answer.members);
         this->exchange.handle_confirmation(
             answer.config_version, answer.config_confirmed_age_ms, sent_at);
+        this->admission.set_estimates(answer.estimates, sent_at);
         if (this->leader_client)
         {
             this->exchange.handle_peer_version(
@@ -282,6 +284,23 @@
 // ---------------------------------------------------------------------------
 // Callers
 
+admission_decision cell_node::admit(work_record const& record)
+{
+    if (!this->settings.admission_control)
+    {
+        return {};
+    }
+    if (this->scheduler)
+    {
+        backlog_forecast const& forecast = this->scheduler->forecast();
+        this->admission.set_estimates(
+            forecast.estimates(), forecast.updated_at_time());
+    }
+    // A job that may be stored must not be reported as rejected.
+    return this->admission.decide(record, this->acceptor.is_in_doubt(record.id),
+        this->dependencies.loop.now());
+}
+
 void cell_node::submit(work_record record, milliseconds timeout,
     std::function<void(accept_result)> done)
 {
@@ -666,7 +685,8 @@
         respond(message_type::member_list,
             pack(member_list{this->members->list(),
                 this->election->heartbeat_age().count(),
-                this->exchange.version(), this->exchange.confirmed_age_ms()}));
+                this->exchange.version(), this->exchange.confirmed_age_ms(),
+                this->scheduler->forecast().estimates()}));
         return;
     case message_type::work_accepted:
     {
