Prefer faster workers for urgent tasks

Cause: workers differ in speed by up to 2.4 times. Urgent tasks went to the tightest fit, so that many ran on slow workers while fast ones were free.

Change: worker_history keeps the ratio of run time to estimate of the last 16 successful runs, for 30 s, and the progress of the runs (not used yet). worker_monitor measures completions and compares the workers once a second. Placement of steps of priority 0 prefers faster workers after health and tickets; calls for advice for such steps name faster workers first among those on which equally many tasks fit. Gangs, long-running steps, resumed, found and repeated starts, estimates below 100 ms and runs whose reports were missing give no evidence. Metrics: workers_slow, workers_fast.

The suites worker_history, step_placement, advice_query and dispatcher pass.

--- a/include/toucanlever/cell/advice_query.hpp
+++ b/include/toucanlever/cell/advice_query.hpp
@@ -13,6 +13,8 @@
 /// No side effects: the decision follows from its arguments.
 #pragma once
 
+#include "toucanlever/cell/worker_history.hpp"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -30,6 +32,8 @@
     /// Tasks of the step that fit on it while it runs nothing.
     std::uint32_t fitting_empty = 0;
     std::int64_t free_cpu_millis = 0;
+    /// Among workers on which equally many tasks fit, faster ones come first.
+    worker_speed speed = worker_speed::normal;
 };
 
 /// What a step still needs.
--- a/include/toucanlever/cell/step_placement.hpp
+++ b/include/toucanlever/cell/step_placement.hpp
@@ -2,8 +2,8 @@
 /// a pool, time is an argument, and nothing is sent.
 ///
 /// Tasks go to the worker with the tightest fit, so that a full cell keeps
-/// large blocks of free capacity for large tasks. A gang is placed whole or not
-/// at all.
+/// large blocks of free capacity for large tasks. Urgent tasks go to faster
+/// workers first. A gang is placed whole or not at all.
 #pragma once
 
 #include "toucanlever/cell/worker_pool.hpp"
@@ -34,6 +34,8 @@
     /// As in `work_step`; empty for none.
     std::string required_label;
     std::string data_rack;
+    /// Faster workers are preferred to the tightest fit.
+    bool prefers_fast_workers = false;
     /// Additional filter on usable workers; empty accepts all of them.
     std::function<bool(pool_worker const&)> allowed;
     /// Workers on which tasks can start at once; the others need a new ticket
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -5,6 +5,7 @@
 /// every allocation is made by `allocate`.
 #pragma once
 
+#include "toucanlever/cell/worker_history.hpp"
 #include "toucanlever/cell/worker_orders.hpp"
 #include "toucanlever/core/clock.hpp"
 
@@ -82,6 +83,9 @@
     /// on.
     std::size_t workers_of_gang = 1;
 
+    /// The last start order carried a checkpoint.
+    bool resumed = false;
+
     /// True when an order to start the run was sent, so that it may have run.
     bool may_have_run() const
     {
@@ -141,6 +145,10 @@
     /// It gets no work before this time; set after several consecutive
     /// failures.
     time_point quarantined_until{};
+    /// Of the current incarnation.
+    worker_history history;
+    /// As last compared with the other workers.
+    worker_speed speed = worker_speed::normal;
     // Invariant: free + needs of all allocations == entry.capacity.
     std::map<task_id, task_allocation> allocations;
     // At most one for each task, the one of its highest run.
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -4,6 +4,7 @@
 
 #include "toucanlever/cell/crash_evidence.hpp"
 #include "toucanlever/cell/task_orders.hpp"
+#include "toucanlever/cell/worker_monitor.hpp"
 
 #include <map>
 #include <set>
@@ -36,7 +37,8 @@
     void apply_held_reports();
 
     /// Applies what was reported of occurrences that have become due. Releases
-    /// tasks of lost workers whose start can no longer be carried out.
+    /// tasks of lost workers whose start can no longer be carried out. Updates
+    /// what the histories of the workers imply.
     void sweep();
 
 private:
@@ -145,6 +147,7 @@
     task_orders& orders;
     completion_journal& journal;
     crash_evidence evidence;
+    worker_monitor monitor;
     std::vector<unsettled_start> unsettled_starts;
     // By job.
     std::map<std::string, std::vector<early_completion>> early_completions;
--- a/src/cell/advice_query.cpp
+++ b/src/cell/advice_query.cpp
@@ -78,14 +78,14 @@
     {
         return {};
     }
-    // The most room first; ids break ties, so that equal inputs give equal
-    // results.
+    // The most room first, then the fastest; ids break ties, so that equal
+    // inputs give equal results.
     auto first = [](advice_option const& left, advice_option const& right)
     {
-        return std::tuple(-std::int64_t{left.fitting}, -left.free_cpu_millis,
-                   std::string_view(*left.worker)) <
-               std::tuple(-std::int64_t{right.fitting}, -right.free_cpu_millis,
-                   std::string_view(*right.worker));
+        return std::tuple(-std::int64_t{left.fitting}, left.speed,
+                   -left.free_cpu_millis, std::string_view(*left.worker)) <
+               std::tuple(-std::int64_t{right.fitting}, right.speed,
+                   -right.free_cpu_millis, std::string_view(*right.worker));
     };
     std::size_t limit = std::min(options.size(), placement_advice::max_workers);
     std::partial_sort(options.begin(),
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -53,9 +53,10 @@
     return found;
 }
 
-/// Orders by health (no recent failure), then by whether tasks can start at
-/// once, then the data rack, then the tightest fit. Ids break ties, so that
-/// equal inputs give equal results.
+/// Orders by health (no recent
+/// failure), then by whether tasks can start at once, then speed if the request
+/// prefers it, then the data rack, then the tightest fit. Ids break ties, so
+/// that equal inputs give equal results.
 bool comes_before(placement_request const& request, candidate const& left,
     candidate const& right)
 {
@@ -63,8 +64,11 @@
     {
         bool off_data_rack = !request.data_rack.empty() &&
                              one.worker->entry.rack != request.data_rack;
+        worker_speed speed = request.prefers_fast_workers
+                                 ? one.worker->speed
+                                 : worker_speed::normal;
         return std::tuple(one.worker->consecutive_failures > 0, !one.ready,
-            off_data_rack, one.worker->free.cpu_millis,
+            speed, off_data_rack, one.worker->free.cpu_millis,
             one.worker->free.memory_bytes,
             std::string_view(one.worker->entry.id));
     };
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -153,6 +153,7 @@
     request.max_per_worker = spec.max_per_worker;
     request.required_label = spec.required_label;
     request.data_rack = spec.data_rack;
+    request.prefers_fast_workers = job.record.queue.priority == 0;
     // The current configuration decides the service; the record does for a
     // queue that is no longer configured.
     queue_terms const* terms =
@@ -546,7 +547,9 @@
         resources unclaimed = worker.free - this->state.claims.on(id);
         options.push_back(
             {&id, tasks_that_fit(worker.entry, unclaimed, request),
-                fitting_empty, worker.free.cpu_millis});
+                fitting_empty, worker.free.cpu_millis,
+                request.prefers_fast_workers ? worker.speed
+                                             : worker_speed::normal});
     }
     std::vector<std::string> workers =
         choose_workers_to_query(std::move(options), demand);
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -146,6 +146,7 @@
     order.fencing_token = lease.fencing_token_for_start();
     allocation->start_token = order.fencing_token;
     order.checkpoint = task.checkpoint;
+    allocation->resumed = !order.checkpoint.empty();
     auto ticket = step.advice.approved.find(worker);
     if (ticket != step.advice.approved.end())
     {
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -15,6 +15,7 @@
     , roster(roster)
     , orders(orders)
     , journal(journal)
+    , monitor(state, orders)
 {
 }
 
@@ -57,6 +58,7 @@
     }
     this->reconcile(worker, report, asked_at);
     this->drop_runs_of_absent_jobs(worker);
+    this->monitor.on_report(worker, report);
     if (report.all_completions)
     {
         worker.reconciled = true;
@@ -119,6 +121,7 @@
             {id, task, allocation.run, may_run_until(lease, allocation)});
     }
     lease.reset_incarnation();
+    this->monitor.forget(worker);
     this->roster.note_reconciled(id);
     this->state.on_work_changed();
 }
@@ -138,6 +141,7 @@
         .with("last_completion", lease.last_completion_number())
         .with("acknowledged", lease.acknowledged_number());
     lease.reset_incarnation();
+    this->monitor.forget(*this->state.pool.find(lease.target().id));
     // The numbers of the new incarnation begin at 1.
     lease.expect_completion(1);
     std::set<std::pair<task_id, std::uint64_t>> started_since;
@@ -287,6 +291,7 @@
 {
     this->apply_held_reports();
     this->release_unsettled_starts();
+    this->monitor.sweep();
 }
 
 void worker_reports::apply_held_reports()
@@ -505,6 +510,7 @@
         metrics().count("completion_gaps");
     }
     completion_receipt const receipt = lease.note_completion(completion.number);
+    this->monitor.on_completion(worker, completion);
     auto allocation = worker.allocations.find(completion.task);
     bool was_held = allocation != worker.allocations.end() &&
                     !allocation->second.need_known;
--- a/tests/unit/advice_query.tests.cpp
+++ b/tests/unit/advice_query.tests.cpp
@@ -234,3 +234,16 @@
     cr_assert(served_in_time(&choose_workers_to_query) >= 0.95);
     cr_assert(served_in_time(&choose_all) < 0.5);
 }
+
+Test(advice_query, names_faster_workers_first_among_those_with_equal_room)
+{
+    // Guards against approvals of slow workers while fast ones are free.
+    std::vector<std::string> const ids{"a", "b", "c"};
+    std::vector<advice_option> const options{
+        {ids.data(), 2, 2, 2000, worker_speed::fast}, {&ids[1], 4, 4, 4000},
+        {&ids[2], 4, 4, 4000, worker_speed::fast}};
+    advice_demand demand;
+    demand.missing_tasks = 1;
+    cr_assert(choose_workers_to_query(options, demand) ==
+              std::vector<std::string>({"c", "b", "a"}));
+}
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2375,3 +2375,36 @@
     fixture.run_for(4 * second);
     cr_assert(fixture.starts_of({{"gang", 0, 0}, 0}) == 1U);
 }
+
+namespace
+{
+
+/// Tasks of a known duration, one on each worker.
+void one_on_each(work_record& record)
+{
+    record.steps[0].max_per_worker = 1;
+    record.steps[0].estimated_ms = 5000;
+}
+
+} // namespace
+
+Test(dispatcher, urgent_tasks_prefer_workers_that_were_fast)
+{
+    // Guards against run times that are not measured, or measured wrongly.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    for (int i = 0; i < 6; ++i)
+    {
+        fixture.submit("j" + std::to_string(i), 2, one_on_each);
+        fixture.run_for(milliseconds(1700));
+        auto const& runs = fixture.workers.workers["w1"].running;
+        fixture.workers.end_run(
+            "w1", runs.begin()->first, run_outcome::succeeded);
+        fixture.run_for(2 * second);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(second);
+    }
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
--- a/tests/unit/step_placement.tests.cpp
+++ b/tests/unit/step_placement.tests.cpp
@@ -188,3 +188,17 @@
     pool.record_outcome("a", true, later);
     cr_assert(pool.find("a")->consecutive_failures == 0U);
 }
+
+Test(step_placement, prefers_fast_workers_only_where_the_request_does)
+{
+    // Guards against batches that occupy the workers urgent tasks need.
+    worker_pool pool;
+    add(pool, "nearly-full", 8000, 6000);
+    add(pool, "fast", 8000).speed = worker_speed::fast;
+    placement_request request = make_request(2000, 1);
+    cr_assert(place_step(pool, request, now).front() == "nearly-full");
+    request.prefers_fast_workers = true;
+    cr_assert(place_step(pool, request, now).front() == "fast");
+    pool.record_outcome("fast", false, now);
+    cr_assert(place_step(pool, request, now).front() == "nearly-full");
+}
