Retry a failed task on another worker

Cause: a task could use up its attempts on one bad worker. A worker is ranked behind others after a failure, but the next success of any task there makes it healthy again, and the tightest fit then chooses it for the same task.

Change: the registry records the worker on which a task failed last. Placement uses such a worker only when no other candidate has capacity, and the tasks of a step exchange their workers so that none gets the one on which it failed.

--- a/include/toucanlever/cell/step_placement.hpp
+++ b/include/toucanlever/cell/step_placement.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace toucanlever
@@ -34,6 +35,9 @@
     /// As in `work_step`; empty for none.
     std::string required_label;
     std::string data_rack;
+    /// Workers on which one of the tasks failed last. They are used only while
+    /// no other worker has capacity.
+    std::set<std::string> failed_workers;
     /// Faster workers are preferred to the tightest fit.
     bool prefers_fast_workers = false;
     /// Additional filter on usable workers; empty accepts all of them.
@@ -51,6 +55,12 @@
 std::vector<std::string> place_step(candidate_workers const& workers,
     placement_request const& request, time_point now);
 
+/// Reorders chosen workers so that, where possible, no task gets the worker on
+/// which it failed last. `last_failed` has the worker of each task, in task
+/// order; empty for none.
+void avoid_failed_workers(std::vector<std::string>& chosen,
+    std::vector<std::string_view> const& last_failed);
+
 /// Chooses from all workers of a pool.
 std::vector<std::string> place_step(
     worker_pool const& pool, placement_request const& request, time_point now);
--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -86,7 +86,7 @@
     {
         return worker.held_back_in_pass == this->pass;
     }
-    void allocate(registry_step& step, std::vector<std::string> const& chosen,
+    void allocate(registry_step& step, std::vector<std::string> chosen,
         resources const& need);
     /// The lowest run number of this leader term. For a whole gang, the lowest
     /// one that is also above the last runs of all its tasks.
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -85,6 +85,8 @@
     /// worker crashed have none.
     std::map<std::uint32_t, crash_history> crashes;
     step_advice advice;
+    /// A task of the step has a `last_failed_worker`.
+    bool has_failed_worker = false;
     /// When the step first became ready.
     time_point ready_at{};
     /// Why it waits, as last logged; `none` until it is late.
@@ -187,6 +189,9 @@
     /// it has succeeded.
     void mark_unplaced(task_id const& task);
 
+    /// Records that the task's run failed on this worker.
+    void mark_failed_on(task_id const& task, std::string const& worker);
+
     /// Records that a task of the job was started.
     void mark_started(registry_job& job);
 
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -53,7 +53,7 @@
     return found;
 }
 
-/// Orders by health (no recent
+/// Orders by whether tasks failed last on the worker, then by health (no recent
 /// failure), then by whether tasks can start at once, then speed if the request
 /// prefers it, then the data rack, then the tightest fit. Ids break ties, so
 /// that equal inputs give equal results.
@@ -64,11 +64,13 @@
     {
         bool off_data_rack = !request.data_rack.empty() &&
                              one.worker->entry.rack != request.data_rack;
+        bool failed_here =
+            request.failed_workers.contains(one.worker->entry.id);
         worker_speed speed = request.prefers_fast_workers
                                  ? one.worker->speed
                                  : worker_speed::normal;
-        return std::tuple(one.worker->consecutive_failures > 0, !one.ready,
-            speed, off_data_rack, one.worker->free.cpu_millis,
+        return std::tuple(failed_here, one.worker->consecutive_failures > 0,
+            !one.ready, speed, off_data_rack, one.worker->free.cpu_millis,
             one.worker->free.memory_bytes,
             std::string_view(one.worker->entry.id));
     };
@@ -172,6 +174,24 @@
     return assign_tasks(std::move(candidates), request);
 }
 
+void avoid_failed_workers(std::vector<std::string>& chosen,
+    std::vector<std::string_view> const& last_failed)
+{
+    std::size_t const count = std::min(chosen.size(), last_failed.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        for (std::size_t other = 0;
+             chosen[i] == last_failed[i] && other < count; ++other)
+        {
+            if (chosen[other] != last_failed[i] &&
+                chosen[i] != last_failed[other])
+            {
+                std::swap(chosen[i], chosen[other]);
+            }
+        }
+    }
+}
+
 std::vector<std::string> place_step(
     worker_pool const& pool, placement_request const& request, time_point now)
 {
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -160,6 +160,16 @@
         this->state.dependencies.queues.terms(job.record.queue.name);
     request.service =
         terms != nullptr ? terms->service : job.record.queue.service;
+    if (step.has_failed_worker)
+    {
+        for (registry_task const& task : step.tasks)
+        {
+            if (task.is_waiting() && !task.last_failed_worker.empty())
+            {
+                request.failed_workers.insert(task.last_failed_worker);
+            }
+        }
+    }
     if (spec.max_per_worker == 0)
     {
         return request;
@@ -456,9 +466,21 @@
     return last + 1;
 }
 
-void step_planner::allocate(registry_step& step,
-    std::vector<std::string> const& chosen, resources const& need)
+void step_planner::allocate(
+    registry_step& step, std::vector<std::string> chosen, resources const& need)
 {
+    if (step.has_failed_worker)
+    {
+        std::vector<std::string_view> last_failed;
+        for (registry_task const& task : step.tasks)
+        {
+            if (task.is_waiting())
+            {
+                last_failed.push_back(task.last_failed_worker);
+            }
+        }
+        avoid_failed_workers(chosen, last_failed);
+    }
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
     std::set<std::string> const workers(chosen.begin(), chosen.end());
     std::size_t next = 0;
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -271,6 +271,16 @@
     this->update_readiness(*this->find(task.step.job), *step, step->ready_at);
 }
 
+void work_registry::mark_failed_on(
+    task_id const& task, std::string const& worker)
+{
+    if (registry_task* entry = this->find(task))
+    {
+        entry->last_failed_worker = worker;
+        this->find(task.step)->has_failed_worker = true;
+    }
+}
+
 completion_effect work_registry::record_completion(
     task_id const& task, std::uint64_t run, run_outcome outcome, time_point now)
 {
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -597,6 +597,10 @@
             completion.task, completion.run, completion.outcome, now);
         this->record_completion(worker, receipt, completion, effect.job_ended);
     }
+    if (completion.outcome == run_outcome::failed)
+    {
+        this->state.registry.mark_failed_on(completion.task, worker);
+    }
     if (completion.outcome == run_outcome::succeeded)
     {
         this->orders.release_succeeded(completion.task.step);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2388,6 +2388,24 @@
 
 } // namespace
 
+Test(dispatcher, a_failed_task_goes_to_another_worker)
+{
+    // Guards against a task that uses up its attempts on one worker: the later
+    // success of another task there makes the worker healthy again.
+    cell_fixture fixture(2);
+    std::string const worker = fixture.run_one_task();
+    fixture.submit("b", 2);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers[worker].running.size() == 3U);
+    fixture.workers.end_run(worker, first_task, run_outcome::failed);
+    fixture.workers.end_run(
+        worker, task_id{{"b", 0, 0}, 0}, run_outcome::succeeded);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    cr_assert(
+        fixture.workers.workers[worker].running.contains(first_task) == false);
+}
+
 Test(dispatcher, urgent_tasks_prefer_workers_that_were_fast)
 {
     // Guards against run times that are not measured, or measured wrongly.
--- a/tests/unit/step_placement.tests.cpp
+++ b/tests/unit/step_placement.tests.cpp
@@ -202,3 +202,19 @@
     pool.record_outcome("fast", false, now);
     cr_assert(place_step(pool, request, now).front() == "nearly-full");
 }
+
+Test(step_placement, uses_a_worker_on_which_a_task_failed_only_as_the_last)
+{
+    // Guards against a task that fails repeatedly on the same worker, and one
+    // that waits although this worker is the only one.
+    worker_pool pool;
+    add(pool, "a", 8000, 6000);
+    placement_request request = make_request(2000, 1);
+    request.failed_workers = {"a"};
+    cr_assert(place_step(pool, request, now).front() == "a");
+    add(pool, "b", 8000);
+    cr_assert(place_step(pool, request, now).front() == "b");
+    std::vector<std::string> chosen{"b", "a", "a"};
+    avoid_failed_workers(chosen, {"", "", "a"});
+    cr_assert(chosen == std::vector<std::string>({"a", "a", "b"}));
+}
