Bar stalled workers and move their runs

Cause: a worker that accepts tasks and hangs got more and more of them, and its tasks waited for it without end.

Change: worker_monitor compares the progress of runs between reports at least 1 s apart. A worker on which two runs, or all, make no progress gets no work until a run progresses, succeeds or fails; after 10 s one step may try. Its runs that made no progress for 2 s, and are not part of a gang, are stopped and started elsewhere if another worker has capacity. Progress comes in whole percents, so a run is evidence only after 4% of its estimate. Each move of a task makes the wait for its progress 4 times as long, so that a task with a wrong estimate is not moved forever. No worker is considered stalled while no run of the cell has made progress for 30 s, because the platform may not report progress. Gangs on several workers, long-running steps and steps without an estimate give no evidence.

--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -29,8 +29,11 @@
     /// The worker on which its current run is allocated; empty while it waits.
     std::string worker;
     std::string checkpoint;
-    /// The worker of the most recent failed run.
+    /// The worker of the most recent failed run, or of the most recent run that
+    /// was stopped because the worker stalled.
     std::string last_failed_worker;
+    /// How many of its runs were stopped because their worker stalled.
+    std::uint32_t stalled_runs = 0;
 
     bool is_waiting() const { return !this->succeeded && this->worker.empty(); }
 };
@@ -189,7 +192,7 @@
     /// it has succeeded.
     void mark_unplaced(task_id const& task);
 
-    /// Records that the task's run failed on this worker.
+    /// Records that the task's run failed, or stalled, on this worker.
     void mark_failed_on(task_id const& task, std::string const& worker);
 
     /// Records that a task of the job was started.
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -177,7 +177,8 @@
     {
         return this->is_entry_current() && this->reconciled && this->recorded &&
                !this->silent && !this->unlisted && !this->entry.leaving &&
-               this->unknown_needs == 0 && now >= this->quarantined_until;
+               this->unknown_needs == 0 && now >= this->quarantined_until &&
+               !this->history.is_barred(now);
     }
 
     /// True when tasks of this job, isolated or not, may run beside the
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -69,7 +69,9 @@
         worker_speed speed = request.prefers_fast_workers
                                  ? one.worker->speed
                                  : worker_speed::normal;
-        return std::tuple(failed_here, one.worker->consecutive_failures > 0,
+        return std::tuple(failed_here,
+            one.worker->consecutive_failures > 0 ||
+                one.worker->history.is_stalled(),
             !one.ready, speed, off_data_rack, one.worker->free.cpu_millis,
             one.worker->free.memory_bytes,
             std::string_view(one.worker->entry.id));
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -482,6 +482,7 @@
         avoid_failed_workers(chosen, last_failed);
     }
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
+    time_point now = this->state.dependencies.loop.now();
     std::set<std::string> const workers(chosen.begin(), chosen.end());
     std::size_t next = 0;
     for (std::uint32_t i = 0; i < step.tasks.size() && next < chosen.size();
@@ -499,8 +500,9 @@
         wanted.isolated = step.is_suspect();
         wanted.workers_of_gang = step.spec->gang ? workers.size() : 1;
         task_id id{step.id, i};
-        this->state.pool.allocate(
-            *this->state.pool.find(chosen[next]), id, wanted);
+        pool_worker& worker = *this->state.pool.find(chosen[next]);
+        this->state.pool.allocate(worker, id, wanted);
+        worker.history.note_placement(now);
         this->state.registry.mark_placed(id, wanted.run, chosen[next]);
         ++next;
     }
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -42,6 +42,7 @@
     {
         this->forget_unsettled_starts(id);
         worker.silent = false;
+        worker.history.forget_progress();
         log_line("worker-heard").with("worker", id);
     }
     for (completed_run const& completion : report.completions)
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2386,8 +2386,95 @@
     record.steps[0].estimated_ms = 5000;
 }
 
+/// The runs on all workers but one make progress.
+void run_while_one_hangs(
+    cell_fixture& fixture, std::string const& hung, milliseconds duration)
+{
+    constexpr milliseconds interval{500};
+    for (milliseconds elapsed{0}; elapsed < duration; elapsed += interval)
+    {
+        for (auto& [id, worker] : fixture.workers.workers)
+        {
+            worker.progress += id == hung ? 0 : 1;
+        }
+        fixture.run_for(interval);
+    }
+}
+
 } // namespace
 
+Test(dispatcher, a_worker_that_hangs_gets_no_work_until_it_progresses)
+{
+    // Guards against a worker that accepts tasks and never ends them taking
+    // more and more of them.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2, one_on_each);
+    run_while_one_hangs(fixture, "w0", 5 * second);
+    fixture.submit("b", 6);
+    run_while_one_hangs(fixture, "w0", 3 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 1U);
+    cr_assert(fixture.workers.workers["w1"].starts.size() == 4U);
+    fixture.workers.workers["w0"].progress = 10;
+    run_while_one_hangs(fixture, "", 2 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 4U);
+}
+
+Test(dispatcher, one_step_tries_a_stalled_worker_after_a_while)
+{
+    // Guards against a worker that is never used again, and one on which all
+    // waiting steps are tried at once.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2, one_on_each);
+    run_while_one_hangs(fixture, "w0", 5 * second);
+    for (std::string const job : {"b", "c", "d", "e", "f"})
+    {
+        fixture.submit(job, 1);
+    }
+    run_while_one_hangs(fixture, "w0", 3 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 1U);
+    run_while_one_hangs(fixture, "w0", 8 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 2U);
+}
+
+Test(dispatcher, runs_on_a_stalled_worker_are_moved)
+{
+    // Guards against tasks that wait for a hung worker while others are free.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("p", 2, one_on_each);
+    fixture.submit("a", 1,
+        [](work_record& record) { record.steps[0].estimated_ms = 5000; });
+    fixture.run_for(second);
+    std::string const hung =
+        fixture.workers.workers["w0"].running.contains(first_task) ? "w0"
+                                                                   : "w1";
+    run_while_one_hangs(fixture, hung, 8 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    cr_assert(
+        fixture.workers.workers[hung].running.contains(first_task) == false);
+    // The tasks that are limited to one on each worker have nowhere to go.
+    cr_assert(fixture.workers.workers[hung].running.size() == 1U);
+}
+
+Test(dispatcher, a_long_task_without_visible_progress_is_no_stall)
+{
+    // Guards against idle workers because progress comes in whole percents.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2,
+        [](work_record& record)
+        {
+            one_on_each(record);
+            record.steps[0].estimated_ms = 300000;
+        });
+    run_while_one_hangs(fixture, "w0", 8 * second);
+    fixture.submit("b", 6);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 4U);
+}
+
 Test(dispatcher, a_failed_task_goes_to_another_worker)
 {
     // Guards against a task that uses up its attempts on one worker: the later
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -34,6 +34,8 @@
     /// When its clock began to count.
     time_point clock_started_at{};
     bool silent = false;
+    /// The progress of all its runs, in percent.
+    int progress = 0;
     /// As many watches fail at once and have no effect.
     int lost_connections = 0;
     /// Watches are answered by another incarnation at its address.
@@ -182,7 +184,7 @@
             std::min(result.completions.size(), worker.max_listed));
         for (auto const& [task, run] : worker.running)
         {
-            result.running.push_back({task, run, {}, 0});
+            result.running.push_back({task, run, {}, worker.progress});
         }
         if (worker.withhold_answers)
         {
