--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -424,12 +424,23 @@
     request.max_per_worker = spec.max_per_worker;
     request.required_label = spec.required_label;
     request.data_rack = spec.data_rack;
+    request.prefers_fast_workers = job.record.queue.priority == 0;
     // The current configuration decides the service; the record does for a
     // queue that is no longer configured.
     queue_terms const* terms =
         this->state.dependencies.queues.terms(job.record.queue.name);
     request.service =
         terms != nullptr ? terms->service : job.record.queue.service;
+    if (step.has_failed_worker)
+    {
+        for (registry_task const& task : step.tasks)
+        {
+            if (task.is_waiting() && !task.last_failed_worker.empty())
+            {
+                request.failed_workers.insert(task.last_failed_worker);
+            }
+        }
+    }
     if (spec.max_per_worker == 0)
     {
         return request;
@@ -772,9 +783,22 @@
 }
 
 void step_planner::allocate(registry_job const& job, registry_step& step,
-    std::vector<std::string> const& chosen, resources const& need)
+    std::vector<std::string> chosen, resources const& need)
 {
+    if (step.has_failed_worker)
+    {
+        std::vector<std::string_view> last_failed;
+        for (registry_task const& task : step.tasks)
+        {
+            if (task.is_waiting())
+            {
+                last_failed.push_back(task.last_failed_worker);
+            }
+        }
+        avoid_failed_workers(chosen, last_failed);
+    }
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
+    time_point now = this->state.dependencies.loop.now();
     std::set<std::string> const workers(chosen.begin(), chosen.end());
     std::size_t next = 0;
     for (std::uint32_t i = 0; i < step.tasks.size() && next < chosen.size();
@@ -794,8 +818,9 @@
         wanted.isolated = step.is_suspect();
         wanted.workers_of_gang = step.spec->gang ? workers.size() : 1;
         task_id id{step.id, i};
-        this->state.pool.allocate(
-            *this->state.pool.find(chosen[next]), id, wanted);
+        pool_worker& worker = *this->state.pool.find(chosen[next]);
+        this->state.pool.allocate(worker, id, wanted);
+        worker.history.note_placement(now);
         this->state.registry.mark_placed(id, wanted.run, chosen[next]);
         ++next;
     }
@@ -867,7 +892,9 @@
         resources unclaimed = worker.free - each.claimed;
         options.push_back(
             {&id, tasks_that_fit(worker.entry, unclaimed, request),
-                fitting_empty, worker.free.cpu_millis});
+                fitting_empty, worker.free.cpu_millis,
+                request.prefers_fast_workers ? worker.speed
+                                             : worker_speed::normal});
     }
     std::vector<std::string> workers =
         choose_workers_to_query(std::move(options), demand);
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -18,6 +18,7 @@
     , orders(orders)
     , journal(journal)
     , on_end_durable(std::move(on_end_durable))
+    , monitor(state, orders)
 {
 }
 
@@ -44,6 +45,7 @@
     {
         this->forget_unsettled_starts(id);
         worker.silent = false;
+        worker.history.forget_progress();
         log_line("worker-heard").with("worker", id);
     }
     for (completed_run const& completion : report.completions)
@@ -60,6 +62,7 @@
     }
     this->reconcile(worker, report, asked_at);
     this->drop_runs_of_absent_jobs(worker);
+    this->monitor.on_report(worker, report);
     if (report.all_completions)
     {
         worker.reconciled = true;
@@ -122,6 +125,7 @@
             {id, task, allocation.run, may_run_until(lease, allocation)});
     }
     lease.reset_incarnation();
+    this->monitor.forget(worker);
     this->roster.note_reconciled(id);
     this->state.on_work_changed();
 }
@@ -141,6 +145,7 @@
         .with("last_completion", lease.last_completion_number())
         .with("acknowledged", lease.acknowledged_number());
     lease.reset_incarnation();
+    this->monitor.forget(*this->state.pool.find(lease.target().id));
     // The numbers of the new incarnation begin at 1.
     lease.expect_completion(1);
     std::set<std::pair<task_id, std::uint64_t>> started_since;
@@ -290,6 +295,7 @@
 {
     this->apply_held_reports();
     this->release_unsettled_starts();
+    this->monitor.sweep();
 }
 
 void worker_reports::apply_held_reports()
@@ -508,6 +514,7 @@
         metrics().count("completion_gaps");
     }
     completion_receipt const receipt = lease.note_completion(completion.number);
+    this->monitor.on_completion(worker, completion);
     auto allocation = worker.allocations.find(completion.task);
     bool was_held = allocation != worker.allocations.end() &&
                     !allocation->second.need_known;
@@ -595,6 +602,10 @@
         this->record_completion(worker, receipt, completion, effect.job_ended);
         this->note_completed_work(completion, effect);
     }
+    if (completion.outcome == run_outcome::failed)
+    {
+        this->state.registry.mark_failed_on(completion.task, worker);
+    }
     if (completion.outcome == run_outcome::succeeded)
     {
         this->orders.release_succeeded(completion.task.step);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2638,3 +2638,141 @@
     fixture.begin_term();
     cr_assert(metrics().prometheus().find(counted) != std::string::npos);
 }
+
+namespace
+{
+
+/// Tasks of a known duration, one on each worker.
+void one_on_each(work_record& record)
+{
+    record.steps[0].max_per_worker = 1;
+    record.steps[0].estimated_ms = 5000;
+}
+
+/// The runs on all workers but one make progress.
+void run_while_one_hangs(
+    cell_fixture& fixture, std::string const& hung, milliseconds duration)
+{
+    constexpr milliseconds interval{500};
+    for (milliseconds elapsed{0}; elapsed < duration; elapsed += interval)
+    {
+        for (auto& [id, worker] : fixture.workers.workers)
+        {
+            worker.progress += id == hung ? 0 : 1;
+        }
+        fixture.run_for(interval);
+    }
+}
+
+} // namespace
+
+Test(dispatcher, a_worker_that_hangs_gets_no_work_until_it_progresses)
+{
+    // Guards against a worker that accepts tasks and never ends them taking
+    // more and more of them.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2, one_on_each);
+    run_while_one_hangs(fixture, "w0", 5 * second);
+    fixture.submit("b", 6);
+    run_while_one_hangs(fixture, "w0", 3 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 1U);
+    cr_assert(fixture.workers.workers["w1"].starts.size() == 4U);
+    fixture.workers.workers["w0"].progress = 10;
+    run_while_one_hangs(fixture, "", 2 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 4U);
+}
+
+Test(dispatcher, one_step_tries_a_stalled_worker_after_a_while)
+{
+    // Guards against a worker that is never used again, and one on which all
+    // waiting steps are tried at once.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2, one_on_each);
+    run_while_one_hangs(fixture, "w0", 5 * second);
+    for (std::string const job : {"b", "c", "d", "e", "f"})
+    {
+        fixture.submit(job, 1);
+    }
+    run_while_one_hangs(fixture, "w0", 3 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 1U);
+    run_while_one_hangs(fixture, "w0", 8 * second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 2U);
+}
+
+Test(dispatcher, runs_on_a_stalled_worker_are_moved)
+{
+    // Guards against tasks that wait for a hung worker while others are free.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("p", 2, one_on_each);
+    fixture.submit("a", 1,
+        [](work_record& record) { record.steps[0].estimated_ms = 5000; });
+    fixture.run_for(second);
+    std::string const hung =
+        fixture.workers.workers["w0"].running.contains(first_task) ? "w0"
+                                                                   : "w1";
+    run_while_one_hangs(fixture, hung, 8 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    cr_assert(
+        fixture.workers.workers[hung].running.contains(first_task) == false);
+    // The tasks that are limited to one on each worker have nowhere to go.
+    cr_assert(fixture.workers.workers[hung].running.size() == 1U);
+}
+
+Test(dispatcher, a_long_task_without_visible_progress_is_no_stall)
+{
+    // Guards against idle workers because progress comes in whole percents.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("a", 2,
+        [](work_record& record)
+        {
+            one_on_each(record);
+            record.steps[0].estimated_ms = 300000;
+        });
+    run_while_one_hangs(fixture, "w0", 8 * second);
+    fixture.submit("b", 6);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers["w0"].starts.size() == 4U);
+}
+
+Test(dispatcher, a_failed_task_goes_to_another_worker)
+{
+    // Guards against a task that uses up its attempts on one worker: the later
+    // success of another task there makes the worker healthy again.
+    cell_fixture fixture(2);
+    std::string const worker = fixture.run_one_task();
+    fixture.submit("b", 2);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers[worker].running.size() == 3U);
+    fixture.workers.end_run(worker, first_task, run_outcome::failed);
+    fixture.workers.end_run(
+        worker, task_id{{"b", 0, 0}, 0}, run_outcome::succeeded);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    cr_assert(
+        fixture.workers.workers[worker].running.contains(first_task) == false);
+}
+
+Test(dispatcher, urgent_tasks_prefer_workers_that_were_fast)
+{
+    // Guards against run times that are not measured, or measured wrongly.
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    for (int i = 0; i < 6; ++i)
+    {
+        fixture.submit("j" + std::to_string(i), 2, one_on_each);
+        fixture.run_for(milliseconds(1700));
+        auto const& runs = fixture.workers.workers["w1"].running;
+        fixture.workers.end_run(
+            "w1", runs.begin()->first, run_outcome::succeeded);
+        fixture.run_for(2 * second);
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(second);
+    }
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.workers.workers["w1"].running.contains(first_task));
+}
