Adapt the model of admission control to the planning order

Cause: order_steps has no limit any more and returns pointers to ranks.

Change: the model copies the ids before it places steps.

--- a/tests/unit/admission_control.tests.cpp
+++ b/tests/unit/admission_control.tests.cpp
@@ -144,16 +144,21 @@
 
     void start_runs()
     {
-        auto free = static_cast<std::size_t>(cores) - this->running.size();
-        if (free == 0)
+        // Placing a step removes its rank from the ready ones.
+        std::vector<step_id> ids;
+        for (step_rank const* rank :
+            order_steps(this->registry.ready(), this->now_ms))
         {
-            return;
+            ids.push_back(rank->id);
         }
-        for (step_rank const& rank :
-            order_steps(this->registry.ready(), this->now_ms, free))
+        for (step_id const& id : ids)
         {
-            this->registry.mark_placed({rank.id, 0}, 1, "w");
-            this->running.emplace(this->now_ms + task_ms, rank.id);
+            if (this->running.size() >= static_cast<std::size_t>(cores))
+            {
+                return;
+            }
+            this->registry.mark_placed({id, 0}, 1, "w");
+            this->running.emplace(this->now_ms + task_ms, id);
         }
     }
 
