--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -30,10 +30,20 @@
     MSGPACK_DEFINE(name, address, config_version, candidate_cpu_millis)
 };
 
+/// How long a new job of a queue would wait for capacity.
+struct queue_estimate
+{
+    std::string queue;
+    std::int64_t wait_ms = 0;
+
+    MSGPACK_DEFINE(queue, wait_ms)
+};
+
 /// The active scheduler's reply to `member_hello`: the instances that sent a
 /// hello recently, the time since it sent the last heartbeat that the store
-/// confirmed, the configuration in force there, and the time since that was
-/// confirmed to be the newest one.
+/// confirmed, the configuration in force there, the time since that was
+/// confirmed to be the newest one, and the estimates of its backlog, none where
+/// admission control is off.
 struct member_list
 {
     std::vector<member_hello> members;
@@ -41,9 +51,10 @@
     std::int64_t config_version = 0;
     /// -1 when it is not known.
     std::int64_t config_confirmed_age_ms = -1;
+    std::vector<queue_estimate> estimates;
 
-    MSGPACK_DEFINE(
-        members, heartbeat_age_ms, config_version, config_confirmed_age_ms)
+    MSGPACK_DEFINE(members, heartbeat_age_ms, config_version,
+        config_confirmed_age_ms, estimates)
 };
 
 /// Tells a member that another configuration is in force at the active
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -30,8 +30,11 @@
     /// The worker on which its current run is allocated; empty while it waits.
     std::string worker;
     std::string checkpoint;
-    /// The worker of the most recent failed run.
+    /// The worker of the most recent failed run, or of the most recent run that
+    /// was stopped because the worker stalled.
     std::string last_failed_worker;
+    /// How many of its runs were stopped because their worker stalled.
+    std::uint32_t stalled_runs = 0;
 
     bool is_waiting() const { return !this->succeeded && this->worker.empty(); }
 };
@@ -117,6 +120,8 @@
     /// worker crashed have none.
     std::map<std::uint32_t, crash_history> crashes;
     step_advice advice;
+    /// A task of the step has a `last_failed_worker`.
+    bool has_failed_worker = false;
     /// When the step first became ready.
     time_point ready_at{};
     /// Why it waits, as last logged; `none` until it is late.
@@ -199,6 +204,9 @@
     /// it has succeeded.
     void mark_unplaced(task_id const& task);
 
+    /// Records that the task's run failed, or stalled, on this worker.
+    void mark_failed_on(task_id const& task, std::string const& worker);
+
     /// Records that a task of the job was started.
     void mark_started(registry_job& job);
 
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -4,6 +4,7 @@
 
 #include "toucanlever/cell/crash_evidence.hpp"
 #include "toucanlever/cell/task_orders.hpp"
+#include "toucanlever/cell/worker_monitor.hpp"
 
 #include <functional>
 #include <map>
@@ -40,7 +41,8 @@
     void apply_held_reports();
 
     /// Applies what was reported of occurrences that have become due. Releases
-    /// tasks of lost workers whose start can no longer be carried out.
+    /// tasks of lost workers whose start can no longer be carried out. Updates
+    /// what the histories of the workers imply.
     void sweep();
 
 private:
@@ -79,6 +81,9 @@
         completion_receipt const& receipt, completed_run const& completion);
     void settle_completion(
         std::string const& worker, completion_receipt const& receipt);
+    /// Counts the work of a run that succeeded for the backlog forecast.
+    void note_completed_work(
+        completed_run const& completion, completion_effect const& effect);
     void on_job_ended(std::string const& id);
     void record_completion(std::string const& worker,
         completion_receipt const& receipt, completed_run const& completion,
@@ -150,6 +155,7 @@
     completion_journal& journal;
     std::function<void(std::string const& job)> on_end_durable;
     crash_evidence evidence;
+    worker_monitor monitor;
     std::vector<unsettled_start> unsettled_starts;
     // By job.
     std::map<std::string, std::vector<early_completion>> early_completions;
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/cell/worker_reports.hpp"
 
+#include "toucanlever/cell/job_objective.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
@@ -17,6 +18,7 @@
     , orders(orders)
     , journal(journal)
     , on_end_durable(std::move(on_end_durable))
+    , monitor(state, orders)
 {
 }
 
@@ -43,6 +45,7 @@
     {
         this->forget_unsettled_starts(id);
         worker.silent = false;
+        worker.history.forget_progress();
         log_line("worker-heard").with("worker", id);
     }
     for (completed_run const& completion : report.completions)
@@ -59,6 +62,7 @@
     }
     this->reconcile(worker, report, asked_at);
     this->drop_runs_of_absent_jobs(worker);
+    this->monitor.on_report(worker, report);
     if (report.all_completions)
     {
         worker.reconciled = true;
@@ -121,6 +125,7 @@
             {id, task, allocation.run, may_run_until(lease, allocation)});
     }
     lease.reset_incarnation();
+    this->monitor.forget(worker);
     this->roster.note_reconciled(id);
     this->state.on_work_changed();
 }
@@ -140,6 +145,7 @@
         .with("last_completion", lease.last_completion_number())
         .with("acknowledged", lease.acknowledged_number());
     lease.reset_incarnation();
+    this->monitor.forget(*this->state.pool.find(lease.target().id));
     // The numbers of the new incarnation begin at 1.
     lease.expect_completion(1);
     std::set<std::pair<task_id, std::uint64_t>> started_since;
@@ -289,6 +295,7 @@
 {
     this->apply_held_reports();
     this->release_unsettled_starts();
+    this->monitor.sweep();
 }
 
 void worker_reports::apply_held_reports()
@@ -507,6 +514,7 @@
         metrics().count("completion_gaps");
     }
     completion_receipt const receipt = lease.note_completion(completion.number);
+    this->monitor.on_completion(worker, completion);
     auto allocation = worker.allocations.find(completion.task);
     bool was_held = allocation != worker.allocations.end() &&
                     !allocation->second.need_known;
@@ -592,6 +600,11 @@
         effect = this->state.registry.record_completion(
             completion.task, completion.run, completion.outcome, now);
         this->record_completion(worker, receipt, completion, effect.job_ended);
+        this->note_completed_work(completion, effect);
+    }
+    if (completion.outcome == run_outcome::failed)
+    {
+        this->state.registry.mark_failed_on(completion.task, worker);
     }
     if (completion.outcome == run_outcome::succeeded)
     {
@@ -607,13 +620,37 @@
     }
 }
 
+void worker_reports::note_completed_work(
+    completed_run const& completion, completion_effect const& effect)
+{
+    if (completion.outcome != run_outcome::succeeded || !effect.current)
+    {
+        return;
+    }
+    registry_step const& step =
+        *this->state.registry.find(completion.task.step);
+    // The success of one task of a gang completes all of them.
+    auto tasks =
+        static_cast<std::uint32_t>(step.spec->gang ? step.tasks.size() : 1);
+    registry_job const& job =
+        *this->state.registry.find(completion.task.step.job);
+    this->state.forecast.note_completed(job.record.queue.priority, tasks,
+        step.spec->capacity_need().cpu_millis, step.spec->estimated_ms);
+}
+
 void worker_reports::on_job_ended(std::string const& id)
 {
     registry_job const& job = *this->state.registry.find(id);
+    std::int64_t after_ms = wall_time_ms() - job.record.accepted_ms;
     log_line("job-ended")
         .with("job", id)
         .with("state", name_of(job.state))
-        .with("after_ms", wall_time_ms() - job.record.accepted_ms);
+        .with("after_ms", after_ms);
+    if (job.record.is_admission_probe && job.state == work_state::succeeded &&
+        after_ms <= objective_of(job.record).useful_ms())
+    {
+        metrics().count("admission_probes_of_use");
+    }
     if (job.state == work_state::failed)
     {
         this->orders.stop_job(id);
