--- a/include/toucanlever/cell/step_placement.hpp
+++ b/include/toucanlever/cell/step_placement.hpp
@@ -40,6 +40,10 @@
     std::set<std::string> failed_workers;
     /// Faster workers are preferred to the tightest fit.
     bool prefers_fast_workers = false;
+    /// Workers that are held back are used only while no other one has
+    /// capacity. Otherwise urgent tasks, which come first in each pass, keep
+    /// taking the capacity that becomes free there, and the gang never fits.
+    bool avoids_held_back_workers = false;
     /// Additional filter on usable workers; empty accepts all of them.
     std::function<bool(pool_worker const&)> allowed;
     /// Workers on which tasks can start at once; the others need a new ticket
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -143,6 +143,9 @@
     bool recorded = false;
     /// The planning pass in which it is held back for a step.
     std::uint64_t held_back_in_pass = 0;
+    /// Until when it is held back for a step, unless that is renewed. Steps
+    /// that come first in the order may still use it.
+    time_point held_back_until{};
     /// The platform no longer lists it.
     bool unlisted = false;
     /// The start time of its process, as reported in its last answer. A
@@ -189,6 +192,11 @@
                !this->history.is_barred(now);
     }
 
+    bool is_held_back(time_point now) const
+    {
+        return now < this->held_back_until;
+    }
+
     /// True when tasks of this job, isolated or not, may run beside the
     /// worker's tasks.
     bool accepts(std::string const& job, bool isolated) const;
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -57,11 +57,13 @@
 /// failure), then by whether tasks can start at once, then speed if the request
 /// prefers it, then the data rack, then the tightest fit. Ids break ties, so
 /// that equal inputs give equal results.
-bool comes_before(placement_request const& request, candidate const& left,
-    candidate const& right)
+bool comes_before(placement_request const& request, time_point now,
+    candidate const& left, candidate const& right)
 {
-    auto rank = [&request](candidate const& one)
+    auto rank = [&request, now](candidate const& one)
     {
+        bool held_back =
+            request.avoids_held_back_workers && one.worker->is_held_back(now);
         bool off_data_rack = !request.data_rack.empty() &&
                              one.worker->entry.rack != request.data_rack;
         bool failed_here =
@@ -72,8 +74,8 @@
         return std::tuple(failed_here,
             one.worker->consecutive_failures > 0 ||
                 one.worker->history.is_stalled(),
-            !one.ready, speed, off_data_rack, one.worker->free.cpu_millis,
-            one.worker->free.memory_bytes,
+            !one.ready, held_back, speed, off_data_rack,
+            one.worker->free.cpu_millis, one.worker->free.memory_bytes,
             std::string_view(one.worker->entry.id));
     };
     return rank(left) < rank(right);
@@ -91,11 +93,11 @@
 
 /// Assigns tasks to the best candidates. Uses a heap instead of a sort, because
 /// the first few candidates usually take all tasks.
-std::vector<std::string> assign_tasks(
-    std::vector<candidate> candidates, placement_request const& request)
+std::vector<std::string> assign_tasks(std::vector<candidate> candidates,
+    placement_request const& request, time_point now)
 {
-    auto later = [&request](candidate const& left, candidate const& right)
-    { return comes_before(request, right, left); };
+    auto later = [&request, now](candidate const& left, candidate const& right)
+    { return comes_before(request, now, right, left); };
     std::make_heap(candidates.begin(), candidates.end(), later);
     std::vector<std::string> chosen;
     while (!candidates.empty() && chosen.size() < request.tasks)
@@ -173,7 +175,7 @@
     {
         candidates = candidates_on_one_rack(candidates, request);
     }
-    return assign_tasks(std::move(candidates), request);
+    return assign_tasks(std::move(candidates), request, now);
 }
 
 void avoid_failed_workers(std::vector<std::string>& chosen,
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -425,6 +425,7 @@
     request.required_label = spec.required_label;
     request.data_rack = spec.data_rack;
     request.prefers_fast_workers = job.record.queue.priority == 0;
+    request.avoids_held_back_workers = !spec.gang;
     // The current configuration decides the service; the record does for a
     // queue that is no longer configured.
     queue_terms const* terms =
@@ -644,6 +645,8 @@
     if (!this->is_held_back(worker))
     {
         worker.held_back_in_pass = this->pass;
+        worker.held_back_until =
+            this->state.dependencies.loop.now() + step_planning::hold_duration;
         ++this->held_back_workers;
     }
 }
@@ -890,9 +893,14 @@
             continue;
         }
         resources unclaimed = worker.free - each.claimed;
+        // Held-back workers have the most free capacity, which is not meant for
+        // this step.
+        bool avoided =
+            request.avoids_held_back_workers && worker.is_held_back(now);
+        std::uint32_t fitting =
+            avoided ? 0 : tasks_that_fit(worker.entry, unclaimed, request);
         options.push_back(
-            {&id, tasks_that_fit(worker.entry, unclaimed, request),
-                fitting_empty, worker.free.cpu_millis,
+            {&id, fitting, fitting_empty, avoided ? 0 : worker.free.cpu_millis,
                 request.prefers_fast_workers ? worker.speed
                                              : worker_speed::normal});
     }
--- a/tests/unit/step_placement.tests.cpp
+++ b/tests/unit/step_placement.tests.cpp
@@ -218,3 +218,19 @@
     avoid_failed_workers(chosen, {"", "", "a"});
     cr_assert(chosen == std::vector<std::string>({"a", "a", "b"}));
 }
+
+// Guards against urgent tasks that keep taking the capacity that becomes free
+// on the workers which are held back for a gang.
+Test(step_placement, workers_held_back_for_a_gang_are_used_last)
+{
+    worker_pool pool;
+    add(pool, "held", 8000, 5000).held_back_until = now + milliseconds(1);
+    add(pool, "other", 8000);
+    placement_request request = make_request(2000, 1);
+    request.avoids_held_back_workers = true;
+    cr_assert(place_step(pool, request, now).front() == "other");
+    cr_assert(
+        place_step(pool, request, now + milliseconds(1)).front() == "held");
+    request.tasks = 5;
+    cr_assert(place_step(pool, request, now).size() == 5U);
+}
