Ask about workers held back for gangs where the others may not suffice

Cause: an urgent task that needs most of a worker found no room on the others, and held-back workers counted as full, so that it waited 2 s for its next call for advice.

Change: choose_workers_to_query leaves held-back workers out only if the step is likely to find enough on the others.

--- a/include/toucanlever/cell/advice_query.hpp
+++ b/include/toucanlever/cell/advice_query.hpp
@@ -34,6 +34,9 @@
     std::int64_t free_cpu_millis = 0;
     /// Among workers on which equally many tasks fit, faster ones come first.
     worker_speed speed = worker_speed::normal;
+    /// Held back for another step: asked about only when the others are not
+    /// expected to suffice.
+    bool held_back = false;
 };
 
 /// What a step still needs.
--- a/src/cell/advice_query.cpp
+++ b/src/cell/advice_query.cpp
@@ -60,6 +60,24 @@
     return demand.approval_share * fitting >= needed;
 }
 
+/// Leaves out the workers that are held back for other steps, which have the
+/// most free capacity, if the step is likely to find enough on the others. A
+/// task that needs most of a worker often does not.
+void leave_out_held_back(
+    std::vector<advice_option>& options, advice_demand const& demand)
+{
+    double fitting = 0.0;
+    for (advice_option const& option : options)
+    {
+        fitting += option.held_back ? 0 : option.fitting;
+    }
+    if (demand.approval_share * fitting >= demand.missing_tasks)
+    {
+        std::erase_if(options,
+            [](advice_option const& option) { return option.held_back; });
+    }
+}
+
 std::size_t generous_count(advice_demand const& demand)
 {
     return demand.all_or_none && demand.missing_tasks > max_small_gang
@@ -74,6 +92,7 @@
 {
     std::erase_if(options,
         [](advice_option const& option) { return option.fitting_empty == 0; });
+    leave_out_held_back(options, demand);
     if (demand.missing_tasks == 0 || !is_worth_a_call(options, demand))
     {
         return {};
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -893,16 +893,11 @@
             continue;
         }
         resources unclaimed = worker.free - each.claimed;
-        // Held-back workers have the most free capacity, which is not meant for
-        // this step.
-        bool avoided =
-            request.avoids_held_back_workers && worker.is_held_back(now);
-        std::uint32_t fitting =
-            avoided ? 0 : tasks_that_fit(worker.entry, unclaimed, request);
-        options.push_back(
-            {&id, fitting, fitting_empty, avoided ? 0 : worker.free.cpu_millis,
-                request.prefers_fast_workers ? worker.speed
-                                             : worker_speed::normal});
+        options.push_back({&id,
+            tasks_that_fit(worker.entry, unclaimed, request), fitting_empty,
+            worker.free.cpu_millis,
+            request.prefers_fast_workers ? worker.speed : worker_speed::normal,
+            request.avoids_held_back_workers && worker.is_held_back(now)});
     }
     std::vector<std::string> workers =
         choose_workers_to_query(std::move(options), demand);
--- a/tests/unit/advice_query.tests.cpp
+++ b/tests/unit/advice_query.tests.cpp
@@ -247,3 +247,20 @@
     cr_assert(choose_workers_to_query(options, demand) ==
               std::vector<std::string>({"c", "b", "a"}));
 }
+
+// Guards against a large urgent task that waits while only held-back workers
+// have room for it, and against small ones that take the room of a gang.
+Test(advice_query, workers_are_named_only_if_the_others_may_not_do)
+{
+    std::vector<std::string> const ids{"held", "other"};
+    std::vector<advice_option> options{
+        {ids.data(), 4, 4, 4000, worker_speed::normal, true},
+        {&ids[1], 3, 4, 3000}};
+    advice_demand demand;
+    demand.missing_tasks = 1;
+    demand.approval_share = 0.5;
+    cr_assert(choose_workers_to_query(options, demand) ==
+              std::vector<std::string>({"other"}));
+    options[1].fitting = 1;
+    cr_assert(choose_workers_to_query(options, demand) == ids);
+}
