Bound the connections of an instance to each worker

Cause: nothing bounds the connections to one worker. A burst opens one for each order, an instance that no longer relays keeps its idle ones, and an instance that loses power leaves all of them behind at the worker.

Why it works: the sum of what living instances have open is bounded by the few that relay to a worker within some seconds, and what a dead one leaves is bounded for each loss, and small for one that fails often.

--- a/include/toucanlever/cell/cell_messages.hpp
+++ b/include/toucanlever/cell/cell_messages.hpp
@@ -26,8 +26,11 @@
     /// CPU share, in thousandths of a core, of an instance that could become
     /// the active scheduler now; 0 when it could not, and in a `member_list`.
     std::int64_t candidate_cpu_millis = 0;
+    /// How long the process has been up; 0 in a `member_list`, and from earlier
+    /// versions.
+    std::int64_t up_ms = 0;
 
-    MSGPACK_DEFINE(name, address, config_version, candidate_cpu_millis)
+    MSGPACK_DEFINE(name, address, config_version, candidate_cpu_millis, up_ms)
 };
 
 /// How long a new job of a queue would wait for capacity.
--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -154,6 +154,7 @@
 
     cell_node_dependencies dependencies;
     cell_settings settings;
+    time_point created_at;
     configuration_exchange exchange;
     job_acceptor acceptor;
     admission_control admission;
--- a/include/toucanlever/cell/member_links.hpp
+++ b/include/toucanlever/cell/member_links.hpp
@@ -44,6 +44,12 @@
     /// The link to a member while it is connected; null otherwise.
     rpc_client* find(std::string const& name) const;
 
+    /// False for a member that has been up for a short time only. The time
+    /// doubles with each restart that was seen, so that a member that fails
+    /// again and again is hardly ever settled. True for one that does not tell
+    /// its age.
+    bool is_settled(std::string const& name) const;
+
     /// All current members, connected or not.
     std::vector<member_hello> list() const;
 
@@ -56,6 +62,14 @@
         time_point last_hello_at{};
     };
 
+    /// What is known of the processes of a member.
+    struct process_history
+    {
+        time_point up_since{};
+        std::uint32_t restarts = 0;
+    };
+
+    void note_process(member_hello const& hello);
     void remove_unresponsive();
     void notify_removed(std::string const& name);
 
@@ -63,6 +77,8 @@
     std::string own_name;
     std::vector<member_listener*> listeners;
     std::map<std::string, member> members;
+    // By name; kept when a member is removed, for its return.
+    std::map<std::string, process_history> histories;
     event_loop::timer_id sweep_timer = 0;
 };
 
--- a/include/toucanlever/cell/queue_directory.hpp
+++ b/include/toucanlever/cell/queue_directory.hpp
@@ -33,6 +33,9 @@
     bool requires_keys = false;
     std::vector<customer> customers;
     std::size_t max_body_bytes = 0;
+    /// How many connections a worker accepts from all instances together: the
+    /// lowest of all services; 0 when none is configured.
+    std::size_t worker_connections = 0;
 };
 
 /// The queue that a path is routed to, and the path after the prefix.
@@ -67,6 +70,12 @@
     /// The terms of a customer; null when the customer is not configured.
     customer_terms const* customer_of(std::string const& name) const;
 
+    /// As in `cell_configuration`.
+    std::size_t worker_connections() const
+    {
+        return this->current.worker_connections;
+    }
+
     std::vector<queue_route> const& routes() const
     {
         return this->current.routes;
--- a/include/toucanlever/cell/relayed_orders.hpp
+++ b/include/toucanlever/cell/relayed_orders.hpp
@@ -47,6 +47,15 @@
     /// change, because each member keeps connections to its workers.
     std::string const& choose_member(std::string const& worker);
 
+    /// This instance and the members that may relay now. Members that are not
+    /// settled are left out: one that loses power soon after each start leaves
+    /// connections behind at its workers each time. They are not left out while
+    /// they are most of the cell, whose work the others could not do.
+    std::vector<std::string> find_candidates() const;
+
+    /// Chooses members anew if the candidates have changed.
+    void update_candidates();
+
     /// Sends an order to the member that is chosen for the worker. Calls
     /// `send_locally` instead of `done` when the order certainly did not reach
     /// the worker through the member.
@@ -72,6 +81,8 @@
     member_links& members;
     std::vector<std::string> member_names;
     std::map<std::string, time_point> backoff_until;
+    std::vector<std::string> candidates;
+    event_loop::timer_id candidate_timer = 0;
     // The chosen member by worker; cleared when the set of candidates changes.
     std::unordered_map<std::string, std::string> chosen_members;
     std::map<std::uint64_t, pending_order> pending_orders;
--- a/include/toucanlever/http/client.hpp
+++ b/include/toucanlever/http/client.hpp
@@ -101,7 +101,12 @@
     using query_callback = std::function<void(query_result)>;
     using command_callback = std::function<void(command_result)>;
 
-    explicit http_client(event_loop& loop);
+    static constexpr std::chrono::seconds default_max_idle{118};
+
+    /// A connection that has been idle for longer than `max_idle` is closed
+    /// within some seconds.
+    explicit http_client(
+        event_loop& loop, std::chrono::seconds max_idle = default_max_idle);
     ~http_client();
 
     /// `done` is called exactly once on the loop's thread, unless the client
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -36,6 +36,7 @@
     cell_node_dependencies collaborators, cell_settings const& settings)
     : dependencies(std::move(collaborators))
     , settings(settings)
+    , created_at(this->dependencies.loop.now())
     , exchange(this->dependencies.loop, this->dependencies.configuration)
     , acceptor(this->dependencies.loop, this->dependencies.store, settings.name)
     , cancellations(this->dependencies.loop,
@@ -169,6 +170,9 @@
             ? static_cast<std::int64_t>(
                   this->settings.cpu_share * millis_per_core)
             : 0;
+    message.up_ms = std::chrono::duration_cast<milliseconds>(
+        this->dependencies.loop.now() - this->created_at)
+                        .count();
     this->leader_client->request(message_type::member_hello, pack(message),
         hello_period,
         [this, sent_at = this->dependencies.loop.now(), alive = this->alive](
--- a/src/cell/member_links.cpp
+++ b/src/cell/member_links.cpp
@@ -2,6 +2,8 @@
 
 #include "toucanlever/core/log.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 namespace
@@ -10,6 +12,13 @@
 /// Three hello periods of 500 ms, and 100 ms of tolerance.
 constexpr milliseconds unresponsive_after{1600};
 constexpr milliseconds sweep_period{500};
+/// After its first start.
+constexpr std::chrono::seconds settle_time{10};
+/// At most 320 s.
+constexpr std::uint32_t max_settle_doublings = 5;
+/// A process that began at least this much later is another one. Hellos are
+/// delayed by less.
+constexpr std::chrono::seconds min_lifetime{1};
 
 } // namespace
 
@@ -37,6 +46,7 @@
     {
         return;
     }
+    this->note_process(hello);
     auto [position, inserted] = this->members.try_emplace(hello.name);
     member& entry = position->second;
     entry.last_hello_at = this->loop.now();
@@ -59,6 +69,40 @@
     }
 }
 
+void member_links::note_process(member_hello const& hello)
+{
+    if (hello.up_ms <= 0)
+    {
+        this->histories.erase(hello.name);
+        return;
+    }
+    time_point const up_since = this->loop.now() - milliseconds(hello.up_ms);
+    auto [entry, is_new] = this->histories.try_emplace(hello.name);
+    process_history& history = entry->second;
+    if (is_new)
+    {
+        history.up_since = up_since;
+    }
+    else if (up_since > history.up_since + min_lifetime)
+    {
+        history.up_since = up_since;
+        ++history.restarts;
+    }
+}
+
+bool member_links::is_settled(std::string const& name) const
+{
+    auto found = this->histories.find(name);
+    if (found == this->histories.end())
+    {
+        return true;
+    }
+    process_history const& history = found->second;
+    std::chrono::seconds const needed =
+        settle_time * (1U << std::min(history.restarts, max_settle_doublings));
+    return this->loop.now() - history.up_since >= needed;
+}
+
 rpc_client* member_links::find(std::string const& name) const
 {
     auto found = this->members.find(name);
@@ -72,7 +116,7 @@
     std::vector<member_hello> all;
     for (auto const& [name, entry] : this->members)
     {
-        all.push_back({name, entry.link->address(), 0});
+        all.push_back({name, entry.link->address()});
     }
     return all;
 }
--- a/src/cell/relayed_orders.cpp
+++ b/src/cell/relayed_orders.cpp
@@ -1,5 +1,6 @@
 #include "toucanlever/cell/relayed_orders.hpp"
 
+#include "toucanlever/cell/limited_orders.hpp"
 #include "toucanlever/core/ids.hpp"
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
@@ -10,13 +11,17 @@
 {
 
 /// Longer than the 400 ms for which the relaying instance waits for the
-/// worker's reply.
-constexpr milliseconds order_timeout{700};
+/// worker's reply, after the order may have waited to be sent.
+constexpr milliseconds order_timeout{450 + limited_orders::max_wait.count()};
 /// Added to the requested wait; longer than the 600 ms that the relaying
 /// instance adds.
 constexpr milliseconds watch_margin{1000};
 /// Longer than it takes to detect an unresponsive link (two heartbeats, 1 s).
 constexpr milliseconds backoff_time{2000};
+/// How often members are checked for having settled.
+constexpr std::chrono::seconds candidate_period{1};
+/// Only settled members relay if they are at least one in this many.
+constexpr std::size_t members_per_settled = 3;
 
 } // namespace
 
@@ -27,23 +32,27 @@
     , members(members)
 {
     members.add_listener(*this);
+    this->candidates = this->find_candidates();
+    this->candidate_timer =
+        loop.every(candidate_period, [this] { this->update_candidates(); });
 }
 
 relayed_orders::~relayed_orders()
 {
     *this->alive = false;
+    this->loop.cancel(this->candidate_timer);
 }
 
 void relayed_orders::on_member_joined(std::string const& name)
 {
     this->member_names.push_back(name);
-    this->chosen_members.clear();
+    this->update_candidates();
 }
 
 void relayed_orders::on_member_removed(std::string const& name)
 {
     std::erase(this->member_names, name);
-    this->chosen_members.clear();
+    this->update_candidates();
     for (auto const& [id, order] : this->pending_orders)
     {
         if (order.member != name)
@@ -73,23 +82,44 @@
     {
         return cached->second;
     }
-    time_point now = this->loop.now();
-    std::vector<std::string> candidates{this->members.self()};
+    std::string chosen = rendezvous_pick(worker, this->candidates);
+    if (chosen == this->members.self())
+    {
+        chosen.clear();
+    }
+    return this->chosen_members.emplace(worker, std::move(chosen))
+        .first->second;
+}
+
+std::vector<std::string> relayed_orders::find_candidates() const
+{
+    time_point const now = this->loop.now();
+    std::vector<std::string> all{this->members.self()};
+    std::vector<std::string> settled = all;
     for (std::string const& name : this->member_names)
     {
         auto backoff = this->backoff_until.find(name);
-        if (backoff == this->backoff_until.end() || now >= backoff->second)
+        if (backoff != this->backoff_until.end() && now < backoff->second)
         {
-            candidates.push_back(name);
+            continue;
+        }
+        all.push_back(name);
+        if (this->members.is_settled(name))
+        {
+            settled.push_back(name);
         }
     }
-    std::string chosen = rendezvous_pick(worker, candidates);
-    if (chosen == this->members.self())
+    return settled.size() * members_per_settled >= all.size() ? settled : all;
+}
+
+void relayed_orders::update_candidates()
+{
+    std::vector<std::string> found = this->find_candidates();
+    if (found != this->candidates)
     {
-        chosen.clear();
+        this->candidates = std::move(found);
+        this->chosen_members.clear();
     }
-    return this->chosen_members.emplace(worker, std::move(chosen))
-        .first->second;
 }
 
 void relayed_orders::back_off(std::string const& name)
@@ -101,13 +131,13 @@
     {
         return;
     }
-    this->chosen_members.clear();
+    this->update_candidates();
     this->loop.after(backoff_time + milliseconds(1),
         [this, alive = this->alive]
         {
             if (*alive)
             {
-                this->chosen_members.clear();
+                this->update_candidates();
             }
         });
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -303,28 +303,26 @@
 class http_client::impl final : public ACE_Event_Handler
 {
 public:
-    explicit impl(event_loop& loop)
+    impl(event_loop& loop, std::chrono::seconds max_idle)
         : loop(loop)
+        , max_idle(max_idle)
+        , used_at(loop.now())
     {
         static bool const initialised =
             curl_global_init(CURL_GLOBAL_DEFAULT) == CURLE_OK;
         static_cast<void>(initialised);
-        this->multi = curl_multi_init();
-        curl_multi_setopt(
-            this->multi, CURLMOPT_MAXCONNECTS, max_cached_connections);
-        curl_multi_setopt(
-            this->multi, CURLMOPT_SOCKETFUNCTION, &impl::on_socket);
-        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
-        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &impl::on_timer);
-        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+        this->open_multi();
         this->loop.reactor().register_handler(
             this->sockets.handle(), this, ACE_Event_Handler::READ_MASK);
+        this->idle_timer =
+            this->loop.every(max_idle, [this] { this->close_if_unused(); });
     }
 
     ~impl() override
     {
         *this->alive = false;
         this->loop.cancel(this->timer);
+        this->loop.cancel(this->idle_timer);
         this->loop.reactor().remove_handler(this->sockets.handle(),
             ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
         for (auto& entry : this->active)
@@ -345,12 +343,18 @@
         added->handle = this->acquire_handle();
         added->loop = &this->loop;
         prepare(*added);
+        this->used_at = this->loop.now();
         CURL* handle = added->handle;
+        curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+            static_cast<long>(this->max_idle.count()));
+        curl_easy_setopt(
+            handle, CURLOPT_CLOSESOCKETFUNCTION, &impl::on_close_socket);
         if (added->call.stall_timeout > milliseconds(0))
         {
             this->watch_progress(*added, added->call.timeout);
         }
         this->active.emplace(handle, std::move(added));
+        this->has_connections = true;
         curl_multi_add_handle(this->multi, handle);
     }
 
@@ -372,6 +376,41 @@
             });
     }
 
+    void open_multi()
+    {
+        this->multi = curl_multi_init();
+        curl_multi_setopt(
+            this->multi, CURLMOPT_MAXCONNECTS, max_cached_connections);
+        curl_multi_setopt(
+            this->multi, CURLMOPT_SOCKETFUNCTION, &impl::on_socket);
+        curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &impl::on_timer);
+        curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
+    }
+
+    /// libcurl closes connections that have been idle for too long only when it
+    /// begins another request.
+    void close_if_unused()
+    {
+        bool const is_unused =
+            this->active.empty() &&
+            this->loop.now() - this->used_at > this->max_idle;
+        if (is_unused && this->has_connections)
+        {
+            this->has_connections = false;
+            this->loop.cancel(this->timer);
+            this->timer = 0;
+            curl_multi_cleanup(this->multi);
+            this->open_multi();
+        }
+    }
+
+    static int on_close_socket(void*, curl_socket_t socket)
+    {
+        metrics().count("http_connections_closed");
+        return ::close(socket);
+    }
+
     static int on_socket(
         CURL*, curl_socket_t socket, int what, void* self, void*)
     {
@@ -519,6 +558,12 @@
     }
 
     event_loop& loop;
+    std::chrono::seconds max_idle;
+    // When a request was last sent.
+    time_point used_at;
+    // True when `multi` may hold connections.
+    bool has_connections = false;
+    event_loop::timer_id idle_timer = 0;
     CURLM* multi = nullptr;
     socket_set sockets;
     event_loop::timer_id timer = 0;
@@ -530,8 +575,8 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-http_client::http_client(event_loop& loop)
-    : pimpl(std::make_unique<impl>(loop))
+http_client::http_client(event_loop& loop, std::chrono::seconds max_idle)
+    : pimpl(std::make_unique<impl>(loop, max_idle))
 {
 }
 
--- a/tests/unit/http_client.tests.cpp
+++ b/tests/unit/http_client.tests.cpp
@@ -71,6 +71,49 @@
     http_client client{this->loop};
 };
 
+/// Answers one request on one connection, and notes when the client closes it.
+class single_connection_server
+{
+public:
+    single_connection_server(std::string const& ip, std::uint16_t port)
+        : listener(listen_on(ip, port))
+        , thread([this] { this->serve(); })
+    {
+    }
+
+    ~single_connection_server()
+    {
+        ::shutdown(this->listener, SHUT_RDWR);
+        this->thread.join();
+        ::close(this->listener);
+    }
+
+    single_connection_server(single_connection_server const&) = delete;
+    single_connection_server& operator=(
+        single_connection_server const&) = delete;
+
+    bool is_closed() const { return this->closed; }
+
+private:
+    void serve()
+    {
+        int const connection = ::accept(this->listener, nullptr, nullptr);
+        std::string_view const answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        char received[1024];
+        while (::recv(connection, received, sizeof received, 0) > 0)
+        {
+            ::send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        }
+        this->closed = true;
+        ::close(connection);
+    }
+
+    int listener;
+    std::atomic<bool> closed{false};
+    std::thread thread;
+};
+
 start_order make_start()
 {
     start_order order;
@@ -81,6 +124,26 @@
 
 } // namespace
 
+// Guards against an instance that no longer relays to a worker and shuts others
+// out of it with the connections that it keeps.
+Test(http_client, a_client_that_is_no_longer_used_closes_its_connections)
+{
+    std::string const ip = own_ip(3);
+    constexpr std::uint16_t port = 7994;
+    single_connection_server server(ip, port);
+    steady_clock time;
+    event_loop loop(time);
+    http_client client(loop, std::chrono::seconds(1));
+    http_query query;
+    query.url = "http://" + ip + ":" + std::to_string(port) + "/";
+    bool is_answered = false;
+    client.send(query, [&is_answered](query_result const& result)
+        { is_answered = result.succeeded(); });
+    cr_assert(run_until(loop, [&is_answered] { return is_answered; }));
+    cr_assert_not(server.is_closed());
+    cr_assert(run_until(loop, [&server] { return server.is_closed(); }));
+}
+
 // Guards against a refusal of a repetition that hides that the first request
 // was carried out.
 Test(http_client, a_command_whose_response_is_lost_is_not_sent_again)
--- a/tests/unit/relayed_orders.tests.cpp
+++ b/tests/unit/relayed_orders.tests.cpp
@@ -45,19 +45,30 @@
 class relay_fixture
 {
 public:
-    relay_fixture()
+    /// The other instance has been up since then when its first hello arrives.
+    explicit relay_fixture(milliseconds age = std::chrono::hours(1))
+        : other_started_at(this->time.now() - age)
     {
-        this->members.handle_hello({"other", this->address});
+        this->say_hello();
         this->run_for(connect_time);
     }
 
+    void say_hello()
+    {
+        member_hello hello{"other", this->address};
+        hello.up_ms = std::chrono::duration_cast<milliseconds>(
+            this->time.now() - this->other_started_at)
+                          .count();
+        this->members.handle_hello(hello);
+    }
+
     void run_for(milliseconds duration)
     {
         constexpr milliseconds step{20};
         for (milliseconds elapsed{0}; elapsed < duration; elapsed += step)
         {
             this->time.advance(step);
-            this->members.handle_hello({"other", this->address});
+            this->say_hello();
             this->loop.run_ready();
         }
     }
@@ -85,6 +96,20 @@
             { this->outcomes.push_back(result.outcome); });
     }
 
+    /// How many of 40 orders to different workers the other instance relays.
+    int count_relayed()
+    {
+        constexpr int workers = 40;
+        int const before = this->other.requests;
+        for (int i = 0; i < workers; ++i)
+        {
+            std::string const worker = "w" + std::to_string(i);
+            this->orders.stop({worker, worker}, {}, [](order_result const&) {});
+        }
+        this->run_for(milliseconds(60));
+        return this->other.requests - before;
+    }
+
     /// Finds a worker whose orders are relayed by the other instance.
     std::string relayed_worker()
     {
@@ -102,6 +127,7 @@
     }
 
     manual_clock time;
+    time_point other_started_at;
     event_loop loop{this->time};
     fake_workers local_workers{this->loop};
     fake_workers remote_workers{this->loop};
@@ -209,6 +235,47 @@
     cr_assert(answers == 1);
 }
 
+// Guards against an instance that loses power again and again, and leaves
+// connections behind at all workers that it relays to each time.
+Test(relayed_orders, an_instance_relays_once_it_has_been_up_for_some_time)
+{
+    relay_fixture fixture(milliseconds(1000));
+    cr_assert(fixture.count_relayed() == 0);
+    fixture.run_for(milliseconds(10000));
+    cr_assert(fixture.count_relayed() > 10);
+}
+
+Test(relayed_orders, an_instance_that_restarts_often_has_to_be_up_for_longer)
+{
+    relay_fixture fixture;
+    constexpr int restarts = 3;
+    for (int i = 0; i < restarts; ++i)
+    {
+        fixture.other_started_at = fixture.time.now();
+        fixture.run_for(milliseconds(6000));
+        cr_assert(fixture.count_relayed() == 0);
+    }
+    // 10 s after a first start, and twice as long for each restart.
+    fixture.run_for(milliseconds(70000));
+    cr_assert(fixture.count_relayed() == 0);
+    fixture.run_for(milliseconds(10000));
+    cr_assert(fixture.count_relayed() > 10);
+}
+
+// Guards against a leader that does the work of a whole cell, right after that
+// was started.
+Test(relayed_orders, instances_relay_at_once_while_most_of_the_cell_is_new)
+{
+    relay_fixture fixture(milliseconds(1000));
+    for (char const* name : {"b", "c"})
+    {
+        member_hello hello{name, own_ip(6) + ":7500"};
+        hello.up_ms = 1000;
+        fixture.members.handle_hello(hello);
+    }
+    cr_assert(fixture.count_relayed() > 5);
+}
+
 Test(order_relay, an_instance_that_shuts_down_refuses_orders)
 {
     relay_fixture fixture;
--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -262,10 +262,20 @@
     cr_assert(terms.advice.required);
     cr_assert(terms.advice.decision_us == 390000);
     cr_assert(terms.advice.per_worker_us == 5500);
+    cr_assert(configuration->worker_connections == 0U);
     cr_assert_not(decode_configuration("{}").has_value());
     cr_assert_not(decode_configuration("nonsense").has_value());
 }
 
+Test(strekbod, the_lowest_connection_limit_of_all_services_is_used)
+{
+    auto configuration = decode_configuration(
+        R"({"Version":3,"Services":[{"Name":"a","ConnectionLimit":64},
+            {"Name":"b","ConnectionLimit":48},{"Name":"c"},
+            {"Name":"d","ConnectionLimit":-1}]})");
+    cr_assert(configuration->worker_connections == 48U);
+}
+
 Test(strekbod, task_names_round_trip)
 {
     task_id const task{{"5c0e7a21d94b36f8", 2, 1}, 17};
