Do not wait without end for a worker to isolate a task on

Cause: a task under which a worker crashed runs only on a worker without tasks of other jobs. Each worker had a long-running one, which does not end; nothing asked whether a worker can become free, and the wait had no limit.

Change: each planning decides how far the task is isolated: from all tasks of other jobs where enough workers can become free of them, else from those that end; and only from new work once a task with one crash has waited for 5 s. Long-running tasks at work do not spoil the evidence of an isolated crash.

Why it works: the condition is asked against the workers as they are in each pass, and each of its forms ends: long-running tasks no longer count, and the others either end or are waited for at most 5 s, unless the task has crashed workers repeatedly.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -132,7 +132,13 @@
         registry_step& step, std::vector<std::string> const& chosen);
     void hold_back(registry_step& step, pool_worker& worker);
     void mark_held_back(pool_worker& worker);
-    /// Keeps workers for suspect tasks that found none without other tasks.
+    /// How far suspect tasks of the step are isolated if they are placed now.
+    /// Nothing waits without end for a worker to become free: long-running
+    /// tasks do not keep a worker from it where too few others can, and after a
+    /// time, neither do other tasks that run already.
+    isolation isolation_for(
+        registry_step& step, placement_request const& request) const;
+    /// Keeps workers for suspect tasks that found none.
     void keep_for_isolation(
         registry_step& step, placement_request const& request);
     /// How many workers like this one the request needs at the same time.
@@ -142,7 +148,7 @@
     bool accepts(pool_worker const& worker, registry_step const& step) const
     {
         return !this->is_held_back(worker) &&
-               worker.accepts(step.id.job, step.is_suspect());
+               worker.accepts(step.id.job, step.planning.wanted_isolation);
     }
     /// Ends the keeping of workers that no waiting task needs.
     void release_kept_workers();
--- a/include/toucanlever/cell/step_planning.hpp
+++ b/include/toucanlever/cell/step_planning.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "toucanlever/cell/wait_reason.hpp"
+#include "toucanlever/cell/worker_pool.hpp"
 #include "toucanlever/core/clock.hpp"
 
 #include <cstddef>
@@ -66,6 +67,10 @@
     std::vector<std::string> held_workers;
     /// Workers that its suspect tasks lack.
     std::size_t isolation_demand = 0;
+    /// As of the last planning.
+    isolation wanted_isolation = isolation::none;
+    /// Since when its suspect tasks wait for a worker; unset while none does.
+    time_point suspect_since{};
 
     bool holds_workers(time_point now) const
     {
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -70,7 +70,8 @@
     /// Runs during which a worker crashed. A crash may be recorded by two
     /// schedulers; each run counts once.
     std::set<std::uint64_t> runs;
-    /// During one of them no other job had a task on the worker.
+    /// During one of them no other job had a task on the worker, but for
+    /// long-running ones at work.
     bool isolated = false;
 };
 
@@ -134,6 +135,9 @@
     /// that are started from now on run isolated from other jobs, but not from
     /// each other, because their job fails as a whole.
     bool is_suspect() const { return !this->crashes.empty(); }
+
+    /// More than one worker has crashed under one of its tasks, or gangs.
+    bool has_crashed_repeatedly() const;
 };
 
 /// State of one job.
@@ -216,9 +220,9 @@
         run_outcome outcome, time_point now);
 
     /// Records a crash of a worker that is evidence against the run, which was
-    /// on it. `isolated` means that no other job had a task there. The job
-    /// fails after a second crash under one of its tasks, once it was isolated
-    /// in one.
+    /// on it. `isolated` means that no other job had a task there, but for
+    /// long-running ones at work. The job fails after a second crash under one
+    /// of its tasks, once it was isolated in one.
     completion_effect record_crash(
         task_id const& task, std::uint64_t run, bool isolated, time_point now);
 
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -43,6 +43,20 @@
         row{allocation_phase::stopping, "stopping"}};
 };
 
+/// Beside which tasks of other jobs a task may be placed. Nothing is placed
+/// beside a task that is isolated, whatever the extent.
+enum class isolation
+{
+    /// Any that are not isolated.
+    none,
+    /// None.
+    from_all,
+    /// Long-running ones: the others end at some time.
+    from_ending_work,
+    /// Any that run already and are not isolated.
+    from_new_work
+};
+
 /// The capacity allocated to a run on a worker.
 struct task_allocation
 {
@@ -78,8 +92,11 @@
     /// The incarnation of the worker that answered the last poll has confirmed
     /// the start or listed the run.
     bool on_known_incarnation = false;
-    /// The worker runs no tasks of other jobs beside it.
+    /// The worker gets no tasks of other jobs beside it.
     bool isolated = false;
+    /// The run ends only when its job is cancelled. False while the job is not
+    /// known.
+    bool long_running = false;
     /// When the policy's answer with the ticket of its start arrived; unset
     /// without a ticket. No incarnation accepts a ticket that was issued for an
     /// earlier one.
@@ -197,11 +214,15 @@
         return now < this->held_back_until;
     }
 
-    /// True when tasks of this job, isolated or not, may run beside the
-    /// worker's tasks.
-    bool accepts(std::string const& job, bool isolated) const;
+    /// True when tasks of this job may be placed beside the worker's tasks.
+    bool accepts(std::string const& job, isolation wanted) const;
+
+    /// True while a long-running task of another job is on it, so that nothing
+    /// tells when it will be free.
+    bool has_long_running_beside(std::string const& job) const;
 
-    /// True when all runs that may have been started on it are of one job.
+    /// True when all runs that may have been started on it are of one job, but
+    /// for long-running ones that were seen at work.
     bool runs_one_job() const;
 };
 
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -35,6 +35,9 @@
 /// At most one worker in this many is kept for tasks that run isolated, so that
 /// a series of crashes leaves most of the cell to other work.
 constexpr std::size_t workers_per_kept = 4;
+/// How long a task under which one worker has crashed waits for a worker on
+/// which no other job has work that will end.
+constexpr std::chrono::seconds isolation_patience{5};
 
 /// True for steps that never wait for the end of a round.
 bool is_urgent(step_rank const& rank, start_prospect prospect)
@@ -551,6 +554,7 @@
     }
     placement_request request = this->make_request(*job, *step);
     request.tasks = within_cap;
+    step->planning.wanted_isolation = this->isolation_for(*step, request);
     request.allowed = [this, step](pool_worker const& worker)
     { return this->accepts(worker, *step); };
     if (needs_tickets)
@@ -584,6 +588,7 @@
         this->hold_back_chosen(*step, chosen);
         return this->advice_wait(*job, *step);
     }
+    step->planning.suspect_since = {};
     this->allocate(*job, *step, chosen, request.need);
     this->starter.start_reserved(*job, *step);
     if (step->waiting == 0)
@@ -707,6 +712,38 @@
     }
 }
 
+isolation step_planner::isolation_for(
+    registry_step& step, placement_request const& request) const
+{
+    if (!step.is_suspect())
+    {
+        return isolation::none;
+    }
+    time_point const now = this->state.dependencies.loop.now();
+    if (step.planning.suspect_since == time_point{})
+    {
+        step.planning.suspect_since = now;
+    }
+    if (now - step.planning.suspect_since >= isolation_patience &&
+        !step.has_crashed_repeatedly())
+    {
+        return isolation::from_new_work;
+    }
+    std::size_t wanted = 1;
+    std::size_t can_be_free = 0;
+    for (usable_worker const& each : this->usable)
+    {
+        pool_worker const& worker = *each.worker;
+        if (is_eligible(worker.entry, request))
+        {
+            wanted = std::max(wanted, this->workers_for(worker, request));
+            can_be_free += worker.has_long_running_beside(step.id.job) ? 0 : 1;
+        }
+    }
+    return can_be_free >= wanted ? isolation::from_all
+                                 : isolation::from_ending_work;
+}
+
 void step_planner::keep_for_isolation(
     registry_step& step, placement_request const& request)
 {
@@ -716,7 +753,11 @@
     std::size_t wanted = 0;
     for (auto& [id, worker] : this->state.pool.all())
     {
-        if (!worker.is_usable(now) || !is_eligible(worker.entry, request))
+        bool const can_serve =
+            step.planning.wanted_isolation != isolation::from_all ||
+            !worker.has_long_running_beside(step.id.job);
+        if (!worker.is_usable(now) || !is_eligible(worker.entry, request) ||
+            !can_serve)
         {
             continue;
         }
@@ -819,6 +860,7 @@
         wanted.customer = job.record.customer.name;
         wanted.use = step.spec->need;
         wanted.isolated = step.is_suspect();
+        wanted.long_running = step.spec->long_running;
         wanted.workers_of_gang = step.spec->gang ? workers.size() : 1;
         task_id id{step.id, i};
         pool_worker& worker = *this->state.pool.find(chosen[next]);
@@ -878,8 +920,9 @@
     {
         pool_worker const& worker = *each.worker;
         std::string const& id = worker.entry.id;
-        bool eligible = is_eligible(worker.entry, request) &&
-                        worker.accepts(step.id.job, step.is_suspect());
+        bool eligible =
+            is_eligible(worker.entry, request) &&
+            worker.accepts(step.id.job, step.planning.wanted_isolation);
         if (!eligible)
         {
             continue;
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+bool registry_step::has_crashed_repeatedly() const
+{
+    return std::any_of(this->crashes.begin(), this->crashes.end(),
+        [](auto const& each) { return each.second.runs.size() > 1; });
+}
+
 bool work_registry::add(work_record record, std::int64_t version,
     std::int64_t wall_ms, time_point now, bool beyond_entitlement)
 {
--- a/src/cell/worker_monitor.cpp
+++ b/src/cell/worker_monitor.cpp
@@ -317,7 +317,8 @@
                           !step.advice.approved.contains(id);
         if (&other == &worker || other.history.is_stalled() || is_refused ||
             !other.is_usable(now) || !is_eligible(other.entry, request) ||
-            !other.accepts(task.step.job, step.is_suspect()))
+            !other.accepts(task.step.job,
+                step.is_suspect() ? isolation::from_all : isolation::none))
         {
             continue;
         }
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -19,15 +19,32 @@
 
 } // namespace
 
-bool pool_worker::accepts(std::string const& job, bool isolated) const
+bool pool_worker::accepts(std::string const& job, isolation wanted) const
 {
-    if (!isolated && this->isolated_tasks == 0)
+    if (wanted == isolation::none && this->kept_for_isolation)
     {
-        return !this->kept_for_isolation;
+        return false;
+    }
+    if (wanted == isolation::none && this->isolated_tasks == 0)
+    {
+        return true;
     }
-    return (isolated || !this->kept_for_isolation) &&
-           std::all_of(this->allocations.begin(), this->allocations.end(),
-               [&job](auto const& each) { return each.first.step.job == job; });
+    return std::all_of(this->allocations.begin(), this->allocations.end(),
+        [&job, wanted](auto const& each)
+        {
+            task_allocation const& other = each.second;
+            bool const may_stay =
+                wanted == isolation::from_new_work ||
+                (wanted == isolation::from_ending_work && other.long_running);
+            return each.first.step.job == job || (may_stay && !other.isolated);
+        });
+}
+
+bool pool_worker::has_long_running_beside(std::string const& job) const
+{
+    return std::any_of(this->allocations.begin(), this->allocations.end(),
+        [&job](auto const& each)
+        { return each.second.long_running && each.first.step.job != job; });
 }
 
 bool pool_worker::runs_one_job() const
@@ -35,7 +52,9 @@
     std::set<std::string_view> jobs;
     for (auto const& [task, allocation] : this->allocations)
     {
-        if (allocation.may_have_run())
+        bool const is_at_work =
+            allocation.long_running && allocation.seen_running;
+        if (allocation.may_have_run() && !is_at_work)
         {
             jobs.insert(task.step.job);
         }
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -795,6 +795,7 @@
         this->state.pool.set_need(worker, id, step->spec->capacity_need());
         this->state.pool.set_customer(
             worker, id, job->record.customer.name, step->spec->need);
+        worker.allocations.at(id).long_running = step->spec->long_running;
         if (step->is_suspect())
         {
             this->state.pool.isolate(worker, id);
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1871,6 +1871,75 @@
     cr_assert(fixture.state_of("a") == work_state::succeeded);
 }
 
+// Guards against a task that waits without end for long-running work to end.
+Test(dispatcher, a_suspect_runs_beside_long_running_work_that_is_everywhere)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("serve", 2,
+        [](work_record& job)
+        {
+            job.steps[0].long_running = true;
+            job.steps[0].max_per_worker = 1;
+        });
+    fixture.run_for(2 * second);
+    fixture.submit("a", 1);
+    fixture.run_for(second);
+    cr_assert(fixture.crash_workers_of(first_task));
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+    // Work that ends still keeps away from it.
+    fixture.submit("b", 4);
+    fixture.run_for(second);
+    for (auto const& [id, worker] : fixture.workers.workers)
+    {
+        cr_assert(worker.running.size() ==
+                  (worker.running.contains(first_task) ? 2U : 4U));
+    }
+}
+
+Test(dispatcher, a_task_that_crashes_workers_fails_beside_long_running_work)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit("serve", 2,
+        [](work_record& job)
+        {
+            job.steps[0].long_running = true;
+            job.steps[0].max_per_worker = 1;
+        });
+    fixture.run_for(2 * second);
+    fixture.submit("a", 1);
+    for (int i = 0; i < 5; ++i)
+    {
+        fixture.run_for(second);
+        fixture.crash_workers_of(first_task);
+    }
+    fixture.run_for(2 * second);
+    cr_assert(fixture.state_of("a") == work_state::failed);
+    cr_assert(fixture.starts_of(first_task) <= 3U);
+    cr_assert(fixture.workers.running_count() == 2U);
+}
+
+// Guards against a task that waits, beside workers with room, for as long as
+// the work of others takes.
+Test(dispatcher, a_suspect_waits_for_work_to_end_for_a_limited_time)
+{
+    cell_fixture fixture(2);
+    fixture.begin_term();
+    fixture.submit(
+        "b", 2, [](work_record& job) { job.steps[0].max_per_worker = 1; });
+    fixture.run_for(second);
+    fixture.submit("a", 1, [](work_record& job) { job.queue.priority = 1; });
+    // Before a report lists it: the other tasks are no suspects then.
+    fixture.run_for(milliseconds(20));
+    cr_assert(fixture.crash_workers_of(first_task));
+    fixture.run_for(4 * second);
+    cr_assert(fixture.starts_of(first_task) == 1U);
+    fixture.run_for(3 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+}
+
 Test(dispatcher, a_successor_counts_the_crashes_of_earlier_terms)
 {
     cell_fixture fixture;
