Hold back no workers for a gang that cannot fit

Cause: workers are held back until their whole capacity would hold the gang; if all of them together do not, all of them are held back, in each pass. The same for capacity that long-running tasks use. There was no limit in time.

Change: nothing is held back unless the eligible workers can hold the gang without the work on them that ends, asked in each planning; and workers that are mostly idle are held back for a step for 5 s at most.

Why it works: a worker is kept from other work only for something that can still happen with the workers that are there, and for a time that has an end.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -127,10 +127,18 @@
     /// ones are: the gang could not use most of the others.
     void hold_back_for_gang(registry_step& step,
         placement_request const& request, bool needs_tickets);
+    /// True when the workers together could hold the gang without the work on
+    /// them that ends, and with advice about those not queried yet.
+    bool can_ever_fit(registry_step const& step,
+        placement_request const& request, bool needs_tickets) const;
     /// Holds back chosen workers for which no ticket can be requested now.
     void hold_back_chosen(
         registry_step& step, std::vector<std::string> const& chosen);
-    void hold_back(registry_step& step, pool_worker& worker);
+    /// Holds the workers back, unless they have been mostly idle for too long
+    /// while the step waited: what it waits for takes its time, and others
+    /// could use them.
+    void hold_back(
+        registry_step& step, std::vector<pool_worker*> const& workers);
     void mark_held_back(pool_worker& worker);
     /// How far suspect tasks of the step are isolated if they are placed now.
     /// Nothing waits without end for a worker to become free: long-running
@@ -154,6 +162,9 @@
     void release_kept_workers();
     /// True while workers may be held back for another step in this pass.
     bool may_hold_back() const;
+    /// Notes whether the workers of the step are mostly idle.
+    static void note_idle_hold(registry_step& step,
+        std::vector<pool_worker*> const& workers, time_point now);
     bool is_held_back(pool_worker const& worker) const
     {
         return worker.held_back_in_pass == this->pass;
--- a/include/toucanlever/cell/step_planning.hpp
+++ b/include/toucanlever/cell/step_planning.hpp
@@ -65,6 +65,9 @@
     /// Held back for the step until it is planned again, waits no longer, or
     /// `hold_duration` has passed.
     std::vector<std::string> held_workers;
+    /// Since when workers that were held back for it, or would have been, are
+    /// mostly idle; unset while they are not.
+    time_point idle_hold_since{};
     /// Workers that its suspect tasks lack.
     std::size_t isolation_demand = 0;
     /// As of the last planning.
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -221,6 +221,9 @@
     /// tells when it will be free.
     bool has_long_running_beside(std::string const& job) const;
 
+    /// What its long-running tasks use.
+    resources long_running_need() const;
+
     /// True when all runs that may have been started on it are of one job, but
     /// for long-running ones that were seen at work.
     bool runs_one_job() const;
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -38,6 +38,8 @@
 /// How long a task under which one worker has crashed waits for a worker on
 /// which no other job has work that will end.
 constexpr std::chrono::seconds isolation_patience{5};
+/// How long workers that are mostly idle are held back for a step.
+constexpr std::chrono::seconds max_idle_hold{5};
 
 /// True for steps that never wait for the end of a round.
 bool is_urgent(step_rank const& rank, start_prospect prospect)
@@ -576,6 +578,10 @@
     }
     if (chosen.empty())
     {
+        if (!request.all_or_none)
+        {
+            step->planning.idle_hold_since = {};
+        }
         if (!step->is_suspect() && request.all_or_none && !step->advice.pending)
         {
             this->hold_back_for_gang(*step, request, needs_tickets);
@@ -589,6 +595,7 @@
         return this->advice_wait(*job, *step);
     }
     step->planning.suspect_since = {};
+    step->planning.idle_hold_since = {};
     this->allocate(*job, *step, chosen, request.need);
     this->starter.start_reserved(*job, *step);
     if (step->waiting == 0)
@@ -656,10 +663,36 @@
     }
 }
 
-void step_planner::hold_back(registry_step& step, pool_worker& worker)
+void step_planner::note_idle_hold(registry_step& step,
+    std::vector<pool_worker*> const& workers, time_point now)
+{
+    std::int64_t free = 0;
+    std::int64_t capacity = 0;
+    for (pool_worker const* worker : workers)
+    {
+        free += worker->free.cpu_millis;
+        capacity += worker->entry.capacity.cpu_millis;
+    }
+    time_point& since = step.planning.idle_hold_since;
+    bool const is_idle = 2 * free >= capacity;
+    since = !is_idle ? time_point{} : since == time_point{} ? now : since;
+}
+
+void step_planner::hold_back(
+    registry_step& step, std::vector<pool_worker*> const& workers)
 {
-    this->mark_held_back(worker);
-    step.planning.held_workers.push_back(worker.entry.id);
+    time_point const now = this->state.dependencies.loop.now();
+    note_idle_hold(step, workers, now);
+    time_point const since = step.planning.idle_hold_since;
+    if (since != time_point{} && now - since >= max_idle_hold)
+    {
+        return;
+    }
+    for (pool_worker* worker : workers)
+    {
+        this->mark_held_back(*worker);
+        step.planning.held_workers.push_back(worker->entry.id);
+    }
 }
 
 void step_planner::hold_back_chosen(
@@ -670,16 +703,42 @@
     {
         return;
     }
+    std::vector<pool_worker*> workers;
     for (std::string const& worker : chosen)
     {
-        this->hold_back(step, *this->state.pool.find(worker));
+        workers.push_back(this->state.pool.find(worker));
     }
+    this->hold_back(step, workers);
+}
+
+bool step_planner::can_ever_fit(registry_step const& step,
+    placement_request const& request, bool needs_tickets) const
+{
+    std::uint32_t missing = request.tasks;
+    for (usable_worker const& each : this->usable)
+    {
+        pool_worker const& worker = *each.worker;
+        std::string const& id = worker.entry.id;
+        bool const may_run_it =
+            is_eligible(worker.entry, request) &&
+            (!needs_tickets || step.advice.approved.contains(id) ||
+                !step.advice.queried.contains(id));
+        if (may_run_it)
+        {
+            resources const ending =
+                worker.entry.capacity - worker.long_running_need();
+            missing -= std::min(
+                missing, tasks_that_fit(worker.entry, ending, request));
+        }
+    }
+    return missing == 0;
 }
 
 void step_planner::hold_back_for_gang(
     registry_step& step, placement_request const& request, bool needs_tickets)
 {
-    if (!this->may_hold_back())
+    if (!this->may_hold_back() ||
+        !this->can_ever_fit(step, request, needs_tickets))
     {
         return;
     }
@@ -697,12 +756,13 @@
     }
     std::make_heap(freest.begin(), freest.end());
     std::int64_t tasks = 0;
+    std::vector<pool_worker*> held;
     while (tasks < request.tasks && !freest.empty())
     {
         std::pop_heap(freest.begin(), freest.end());
         pool_worker* worker = freest.back().second;
         freest.pop_back();
-        this->hold_back(step, *worker);
+        held.push_back(worker);
         // The whole capacity counts: the worker's current tasks will end, and
         // later steps of the pass cannot take their place.
         auto capacity = worker->entry.capacity.cpu_millis;
@@ -710,6 +770,7 @@
                      ? capacity / request.need.cpu_millis
                      : request.tasks;
     }
+    this->hold_back(step, held);
 }
 
 isolation step_planner::isolation_for(
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -47,6 +47,16 @@
         { return each.second.long_running && each.first.step.job != job; });
 }
 
+resources pool_worker::long_running_need() const
+{
+    resources sum;
+    for (auto const& [task, allocation] : this->allocations)
+    {
+        sum += allocation.long_running ? allocation.need : resources{};
+    }
+    return sum;
+}
+
 bool pool_worker::runs_one_job() const
 {
     std::set<std::string_view> jobs;
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1573,6 +1573,80 @@
     cr_assert(fixture.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
 }
 
+/// A gang whose tasks each need a whole worker.
+void submit_wide_gang(cell_fixture& fixture, std::uint32_t tasks)
+{
+    fixture.submit("gang", tasks,
+        [](work_record& record)
+        {
+            record.steps[0].gang = true;
+            record.steps[0].need.cpu_millis = worker_cpu;
+        });
+}
+
+// Guards against workers that are held back for a gang that cannot fit any
+// more, since some were lost.
+Test(dispatcher, a_gang_that_is_too_large_keeps_no_worker_from_other_jobs)
+{
+    cell_fixture fixture(5);
+    fixture.begin_term();
+    fixture.submit("everywhere", 5,
+        [](work_record& record) { record.steps[0].max_per_worker = 1; });
+    fixture.run_for(second);
+    submit_wide_gang(fixture, 5);
+    fixture.run_for(second);
+    // The gang fits, once the tasks have ended.
+    fixture.submit(
+        "early", 1, [](work_record& record) { record.queue.priority = 5; });
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"early", 0, 0}, 0}) == 0U);
+    fixture.unlist_worker("w4");
+    fixture.run_for(4 * second);
+    fixture.submit(
+        "late", 1, [](work_record& record) { record.queue.priority = 5; });
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"early", 0, 0}, 0}) == 1U);
+    cr_assert(fixture.starts_of({{"late", 0, 0}, 0}) == 1U);
+}
+
+Test(
+    dispatcher, a_gang_beside_long_running_work_keeps_no_worker_from_other_jobs)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.submit("serve", 4,
+        [](work_record& record)
+        {
+            record.steps[0].long_running = true;
+            record.steps[0].max_per_worker = 1;
+        });
+    fixture.run_for(second);
+    submit_wide_gang(fixture, 4);
+    fixture.run_for(second);
+    fixture.submit(
+        "last", 1, [](work_record& record) { record.queue.priority = 5; });
+    fixture.run_for(second);
+    cr_assert(fixture.starts_of({{"last", 0, 0}, 0}) == 1U);
+}
+
+// Guards against workers that stand mostly idle, for as long as the work takes
+// that a gang waits for.
+Test(dispatcher, idle_workers_are_held_back_for_a_limited_time)
+{
+    cell_fixture fixture;
+    fixture.begin_term();
+    fixture.submit("everywhere", 4,
+        [](work_record& record) { record.steps[0].max_per_worker = 1; });
+    fixture.run_for(second);
+    submit_wide_gang(fixture, 4);
+    fixture.submit(
+        "last", 1, [](work_record& record) { record.queue.priority = 5; });
+    fixture.run_for(4 * second);
+    cr_assert(fixture.starts_of({{"last", 0, 0}, 0}) == 0U);
+    fixture.run_for(2 * second);
+    cr_assert(fixture.starts_of({{"last", 0, 0}, 0}) == 1U);
+}
+
 Test(
     dispatcher, a_worker_whose_capacity_has_shrunk_waits_until_enough_has_ended)
 {
