Test that jobs of many steps leave a leader time for heartbeats

Change: a test with a bound that comes from the lease: jobs at the limit of 1,000 steps, three at once, at arrival, at each end and at a takeover, may occupy a leader for 120 ms of processor time, which is 1 s on 0.12 of a core.

--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -144,10 +144,27 @@
         for (milliseconds elapsed{0}; elapsed < duration; elapsed += step)
         {
             this->time.advance(step);
-            this->loop.run_ready();
+            this->take_turn([this] { this->loop.run_ready(); });
         }
     }
 
+    /// Notes the processor time of what occupies the scheduler at a stretch.
+    template <typename Work>
+    void take_turn(Work work)
+    {
+        auto used = []
+        {
+            timespec value{};
+            clock_gettime(CLOCK_THREAD_CPUTIME_ID, &value);
+            return std::chrono::seconds(value.tv_sec) +
+                   std::chrono::nanoseconds(value.tv_nsec);
+        };
+        auto const before = used();
+        work();
+        this->busiest_turn = std::max<std::chrono::nanoseconds>(
+            this->busiest_turn, used() - before);
+    }
+
     /// Stores a job and announces it to the scheduler.
     void submit(std::string const& id, std::uint32_t tasks,
         std::function<void(work_record&)> const& change = {})
@@ -168,7 +185,7 @@
             this->store.set(tables::job_row_key("node", id), pack(record));
         if (this->term)
         {
-            this->term->accept(record, version);
+            this->take_turn([&] { this->term->accept(record, version); });
         }
     }
 
@@ -249,6 +266,7 @@
     bool may_start = true;
     time_point lease_limit = time_point::max();
     int replaced = 0;
+    std::chrono::nanoseconds busiest_turn{0};
     std::uint64_t fencing_token = 0;
     std::mt19937 random{1};
     std::unique_ptr<advice_broker> broker;
@@ -275,6 +293,57 @@
 
 } // namespace
 
+// Guards against leaders that follow each other because each stands still when
+// it adds jobs of many steps, reads them, or one of their steps ends.
+Test(dispatcher, jobs_at_the_limit_of_steps_leave_time_for_heartbeats)
+{
+    // A leader that sends a heartbeat each 300 ms may stand still for 1 s of
+    // its lease of 1.3 s. The smallest instances have 0.12 of a core.
+    constexpr milliseconds bound{120};
+    constexpr std::uint32_t steps = 1000;
+    constexpr std::uint32_t dependencies = 20;
+    cell_fixture fixture;
+    fixture.begin_term();
+    for (std::string const id : {"a", "b", "c"})
+    {
+        fixture.submit(id, 1,
+            [](work_record& record)
+            {
+                record.queue.priority = 1;
+                record.steps.resize(steps, record.steps.front());
+                for (std::uint32_t i = 1; i < steps; ++i)
+                {
+                    for (std::uint32_t j = i < dependencies ? 0
+                                                            : i - dependencies;
+                         j < i; ++j)
+                    {
+                        record.steps[i].after.push_back(j);
+                    }
+                }
+            });
+    }
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 3U);
+    constexpr int ends = 20;
+    for (int i = 0; i < ends; ++i)
+    {
+        fixture.workers.end_all_runs(run_outcome::succeeded);
+        fixture.run_for(milliseconds(200));
+        cr_assert(fixture.workers.running_count() == 3U);
+    }
+    fixture.submit("small", 1);
+    fixture.run_for(milliseconds(100));
+    cr_assert(fixture.starts_of({{"small", 0, 0}, 0}) == 1U);
+    fixture.end_term();
+    // The successor reads the jobs and their ends.
+    fixture.begin_term();
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 4U);
+    cr_assert(fixture.busiest_turn < bound, "%lld ms",
+        static_cast<long long>(
+            std::chrono::ceil<milliseconds>(fixture.busiest_turn).count()));
+}
+
 Test(dispatcher, starts_a_job_and_reports_its_end_once_it_is_durable)
 {
     cell_fixture fixture;
