Create the due occurrences of a job in parts

Seen by callers: not from outside; found by looking for work on the event loop that grows with one job's size. A scheduled job whose times have passed long ago (FirstRunMs 0, 10,000 repetitions) has all of its occurrences due at once.

Cause: create_due_occurrences went on until none was due, at arrival and at each takeover.

Runs of occurrences that are not created yet are held as before.

Why it works: what one call may create has a bound that does not depend on the job.

--- a/include/toucanlever/cell/work.hpp
+++ b/include/toucanlever/cell/work.hpp
@@ -115,6 +115,9 @@
         interval_ms, accepted_ms, customer, is_admission_probe)
 };
 
+/// The tasks of one occurrence.
+std::size_t count_tasks(work_record const& record);
+
 /// Names a step of one occurrence of a job.
 struct step_id
 {
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -196,8 +196,13 @@
     registry_step* find(step_id const& step);
     registry_task* find(task_id const& task);
 
-    /// Creates the occurrences that are due. Returns the wall time, in
-    /// milliseconds, at which the next one is due, or 0 when there is none.
+    /// Tasks of due occurrences that are created in one call, at least one
+    /// occurrence: a job whose times have passed long ago has thousands.
+    static constexpr std::size_t max_tasks_created = 20000;
+
+    /// Creates occurrences that are due; when there are many, the next call
+    /// continues. Returns the wall time, in milliseconds, at which the next one
+    /// is due, or 0 when there is none.
     std::int64_t create_due_occurrences(std::int64_t wall_ms, time_point now);
 
     /// Records that a run of the task is allocated on a worker.
--- a/src/cell/work.cpp
+++ b/src/cell/work.cpp
@@ -3,6 +3,16 @@
 namespace toucanlever
 {
 
+std::size_t count_tasks(work_record const& record)
+{
+    std::size_t tasks = 0;
+    for (work_step const& step : record.steps)
+    {
+        tasks += step.tasks;
+    }
+    return tasks;
+}
+
 std::string to_string(step_id const& step)
 {
     return step.job + '.' + std::to_string(step.occurrence) + '.' +
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -111,10 +111,11 @@
 std::int64_t work_registry::create_due_occurrences(
     std::int64_t wall_ms, time_point now)
 {
+    std::size_t created = 0;
     while (!this->scheduled.empty())
     {
         auto [due, id] = *this->scheduled.begin();
-        if (due > wall_ms)
+        if (due > wall_ms || created >= max_tasks_created)
         {
             return due;
         }
@@ -126,6 +127,7 @@
         }
         auto next = static_cast<std::uint32_t>(job->occurrences.size());
         this->create_occurrence(*job, next, now);
+        created += count_tasks(job->record);
         if (next + 1 < job->record.repetitions)
         {
             this->scheduled.insert({due + job->record.interval_ms, id});
--- a/tests/unit/work_registry.tests.cpp
+++ b/tests/unit/work_registry.tests.cpp
@@ -307,3 +307,24 @@
     cr_assert(
         std::chrono::steady_clock::now() - before < std::chrono::seconds(1));
 }
+
+// Guards against a leader that stands still while it creates all occurrences of
+// a job whose times have passed.
+Test(work_registry, due_occurrences_are_created_in_parts)
+{
+    constexpr std::uint32_t repetitions = 10000;
+    work_record job = make_job("a", {make_step(10)});
+    job.repetitions = repetitions;
+    job.interval_ms = 1;
+    constexpr std::int64_t wall_ms = 1000000;
+    work_registry registry;
+    registry.add(job, 1, wall_ms, now);
+    std::size_t created = registry.find("a")->occurrences.size();
+    cr_assert(created == work_registry::max_tasks_created / 10);
+    for (int calls = 1; created < repetitions; ++calls)
+    {
+        cr_assert(calls < 5);
+        registry.create_due_occurrences(wall_ms, now);
+        created = registry.find("a")->occurrences.size();
+    }
+}
