Refuse jobs of more tasks than an instance can keep

Cause: a step may have 10,000 tasks and a job 1,000 steps; nothing bounded their product.

Why it works: a job that is refused is not stored, so no successor reads it.

--- a/tests/unit/strekbod.tests.cpp
+++ b/tests/unit/strekbod.tests.cpp
@@ -267,6 +267,22 @@
     cr_assert_not(decode_configuration("nonsense").has_value());
 }
 
+// Guards against a job that takes more memory than each instance has.
+Test(strekbod, a_job_of_too_many_tasks_is_refused)
+{
+    auto job_of = [](int steps)
+    {
+        std::string text = R"({"Specification":"x","Steps":[)";
+        for (int i = 0; i < steps; ++i)
+        {
+            text += std::string(i > 0 ? "," : "") + R"({"Count":10000})";
+        }
+        return text + "]}";
+    };
+    cr_assert(problem_of(job_of(5)) == "accepted");
+    cr_assert(problem_of(job_of(6)).find("50000 tasks") != std::string::npos);
+}
+
 Test(strekbod, the_lowest_connection_limit_of_all_services_is_used)
 {
     auto configuration = decode_configuration(
