Isolation: do not count on workers that the policy has refused

Seen by callers: not from outside; found by asking of each condition that a task waits for whether it can still happen. A suspect task whose only approved worker has long-running work waits as if one of the refused workers could take it, for 5 s, and without end if it has crashed workers repeatedly.

Cause: isolation_for, and the demand that keep_for_isolation notes, counted all eligible workers.

Change: both ask may_be_approved, which keep_for_isolation had for one of its two decisions, and can_ever_fit for a gang. A task that waits for capacity only has no worker kept.

Measured: dispatcher::a_suspect_waits_only_for_workers_that_may_be_approved fails without the change (120 of 121 pass) and passes with it (121 of 121).

Why it works: what is counted is what the task can get.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -129,8 +129,8 @@
         placement_request const& request, bool needs_tickets);
     /// True when the workers together could hold the gang without the work on
     /// them that ends, and with advice about those not queried yet.
-    bool can_ever_fit(registry_step const& step,
-        placement_request const& request, bool needs_tickets) const;
+    bool can_ever_fit(
+        registry_step const& step, placement_request const& request) const;
     /// Holds back chosen workers for which no ticket can be requested now.
     void hold_back_chosen(
         registry_step& step, std::vector<std::string> const& chosen);
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -41,6 +41,13 @@
 /// How long workers that are mostly idle are held back for a step.
 constexpr std::chrono::seconds max_idle_hold{5};
 
+/// False when the external policy was asked about the worker and refused it.
+bool may_be_approved(registry_step const& step, std::string const& worker)
+{
+    return step.advice.approved.contains(worker) ||
+           !step.advice.queried.contains(worker);
+}
+
 /// True for steps that never wait for the end of a round.
 bool is_urgent(step_rank const& rank, start_prospect prospect)
 {
@@ -711,19 +718,15 @@
     this->hold_back(step, workers);
 }
 
-bool step_planner::can_ever_fit(registry_step const& step,
-    placement_request const& request, bool needs_tickets) const
+bool step_planner::can_ever_fit(
+    registry_step const& step, placement_request const& request) const
 {
     std::uint32_t missing = request.tasks;
     for (usable_worker const& each : this->usable)
     {
         pool_worker const& worker = *each.worker;
-        std::string const& id = worker.entry.id;
-        bool const may_run_it =
-            is_eligible(worker.entry, request) &&
-            (!needs_tickets || step.advice.approved.contains(id) ||
-                !step.advice.queried.contains(id));
-        if (may_run_it)
+        if (is_eligible(worker.entry, request) &&
+            may_be_approved(step, worker.entry.id))
         {
             resources const ending =
                 worker.entry.capacity - worker.long_running_need();
@@ -737,8 +740,7 @@
 void step_planner::hold_back_for_gang(
     registry_step& step, placement_request const& request, bool needs_tickets)
 {
-    if (!this->may_hold_back() ||
-        !this->can_ever_fit(step, request, needs_tickets))
+    if (!this->may_hold_back() || !this->can_ever_fit(step, request))
     {
         return;
     }
@@ -795,7 +797,8 @@
     for (usable_worker const& each : this->usable)
     {
         pool_worker const& worker = *each.worker;
-        if (is_eligible(worker.entry, request))
+        if (is_eligible(worker.entry, request) &&
+            may_be_approved(step, worker.entry.id))
         {
             wanted = std::max(wanted, this->workers_for(worker, request));
             can_be_free += worker.has_long_running_beside(step.id.job) ? 0 : 1;
@@ -808,6 +811,11 @@
 void step_planner::keep_for_isolation(
     registry_step& step, placement_request const& request)
 {
+    if (step.planning.wanted_isolation == isolation::from_new_work)
+    {
+        // It waits for capacity only.
+        return;
+    }
     time_point now = this->state.dependencies.loop.now();
     pool_worker* freest = nullptr;
     std::size_t kept = 0;
@@ -818,7 +826,7 @@
             step.planning.wanted_isolation != isolation::from_all ||
             !worker.has_long_running_beside(step.id.job);
         if (!worker.is_usable(now) || !is_eligible(worker.entry, request) ||
-            !can_serve)
+            !can_serve || !may_be_approved(step, id))
         {
             continue;
         }
@@ -828,12 +836,9 @@
             ++kept;
             continue;
         }
-        bool may_be_approved = step.advice.approved.contains(id) ||
-                               !step.advice.queried.contains(id);
-        if (may_be_approved &&
-            (freest == nullptr ||
-                std::pair(worker.free.cpu_millis, id) >
-                    std::pair(freest->free.cpu_millis, freest->entry.id)))
+        if (freest == nullptr ||
+            std::pair(worker.free.cpu_millis, id) >
+                std::pair(freest->free.cpu_millis, freest->entry.id))
         {
             freest = &worker;
         }
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2064,6 +2064,29 @@
     cr_assert(fixture.workers.running_count() == 2U);
 }
 
+// Guards against a task that waits for a worker that the policy has refused.
+Test(dispatcher, a_suspect_waits_only_for_workers_that_may_be_approved)
+{
+    cell_fixture fixture(2);
+    fixture.list_changed_worker(
+        "w0", [](worker_entry& entry) { entry.labels = {"pinned"}; });
+    fixture.advice.refused = {"w1"};
+    fixture.begin_term();
+    fixture.submit("serve", 1,
+        [](work_record& job)
+        {
+            job.steps[0].long_running = true;
+            job.steps[0].required_label = "pinned";
+        });
+    fixture.run_for(2 * second);
+    fixture.submit(
+        "a", 1, [](work_record& job) { job.queue.advice.required = true; });
+    fixture.run_for(second);
+    cr_assert(fixture.crash_workers_of(first_task));
+    fixture.run_for(3 * second);
+    cr_assert(fixture.starts_of(first_task) == 2U);
+}
+
 // Guards against a task that waits, beside workers with room, for as long as
 // the work of others takes.
 Test(dispatcher, a_suspect_waits_for_work_to_end_for_a_limited_time)
