--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -83,6 +83,8 @@
     /// Number of orders that got no answer.
     std::uint32_t unanswered_orders = 0;
     bool order_pending = false;
+    /// Stops since the last one that the worker confirmed.
+    std::uint32_t unconfirmed_stops = 0;
     /// When the worker last confirmed a start of the run; unset before.
     time_point start_confirmed_at{};
     /// The fencing token of the last start order.
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -4,6 +4,8 @@
 #include "toucanlever/core/log.hpp"
 #include "toucanlever/core/metrics.hpp"
 
+#include <algorithm>
+
 namespace toucanlever
 {
 
@@ -364,7 +366,9 @@
 void task_orders::on_stop_result(task_id const& task, std::uint64_t run,
     std::string const& worker, order_result const& result)
 {
-    constexpr milliseconds retry_delay{200};
+    // Doubles with each repetition, up to 800 ms.
+    constexpr milliseconds first_retry_delay{200};
+    constexpr std::uint32_t max_doublings = 2;
     task_allocation* allocation = this->find_allocation(worker, task, run);
     if (allocation == nullptr)
     {
@@ -381,9 +385,14 @@
     {
         allocation->confirmed = true;
         allocation->confirmed_at = this->state.dependencies.loop.now();
+        allocation->unconfirmed_stops = 0;
         this->roster.lease(worker).poll_soon();
         return;
     }
+    milliseconds const retry_delay =
+        first_retry_delay *
+        (1U << std::min(allocation->unconfirmed_stops, max_doublings));
+    ++allocation->unconfirmed_stops;
     this->state.dependencies.loop.after(retry_delay,
         [this, task, run, worker, alive = this->alive]
         {
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -2014,6 +2014,22 @@
     cr_assert(fixture.state_of("a") == work_state::succeeded);
 }
 
+// Guards against a worker that is kept busy with connections for the stops that
+// it resets.
+Test(dispatcher, a_stop_that_fails_is_repeated_less_and_less_often)
+{
+    cell_fixture fixture(1);
+    fixture.run_one_task();
+    fake_cell_worker& worker = fixture.workers.workers["w0"];
+    worker.lose_stops = true;
+    fixture.term->cancel("a");
+    fixture.run_for(10 * second);
+    cr_assert(worker.stops >= 12 && worker.stops <= 15, "%d", worker.stops);
+    worker.lose_stops = false;
+    fixture.run_for(second);
+    cr_assert(fixture.workers.running_count() == 0U);
+}
+
 // Guards against a task that waits without end for long-running work to end.
 Test(dispatcher, a_suspect_runs_beside_long_running_work_that_is_everywhere)
 {
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -48,6 +48,9 @@
     bool withhold_replies = false;
     /// How the next start is refused.
     std::optional<order_outcome> refuse_next;
+    /// Stops are not carried out, and get no reply.
+    bool lose_stops = false;
+    int stops = 0;
     /// Runs that are stopped go on until the test ends them.
     bool slow_stops = false;
     /// Watches get no reply and are queued until `deliver_delayed_watches`.
@@ -124,7 +127,8 @@
         order_callback done) override
     {
         fake_cell_worker& worker = this->workers[target.id];
-        if (worker.silent)
+        ++worker.stops;
+        if (worker.silent || worker.lose_stops)
         {
             done({order_outcome::in_doubt, -1, "silent"});
             return;
