Split the extent of isolation off, and explain what a newcomer would ask

Read as a newcomer would: the enumeration moves to a header of its own, so that step_planning.hpp does not need the whole pool; the idle hold is written without a nested condition; tests share the submission of a service.

--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -134,16 +134,16 @@
     /// Holds back chosen workers for which no ticket can be requested now.
     void hold_back_chosen(
         registry_step& step, std::vector<std::string> const& chosen);
-    /// Holds the workers back, unless they have been mostly idle for too long
-    /// while the step waited: what it waits for takes its time, and others
-    /// could use them.
+    /// Holds the workers back, unless such workers have been mostly idle for
+    /// too long: what the step waits for takes longer than other work should
+    /// wait beside them.
     void hold_back(
         registry_step& step, std::vector<pool_worker*> const& workers);
     void mark_held_back(pool_worker& worker);
     /// How far suspect tasks of the step are isolated if they are placed now.
-    /// Nothing waits without end for a worker to become free: long-running
-    /// tasks do not keep a worker from it where too few others can, and after a
-    /// time, neither do other tasks that run already.
+    /// Where too few workers can become free of long-running tasks, those do
+    /// not count. After `isolation_patience`, nothing that runs already counts,
+    /// unless the step's tasks have crashed workers repeatedly.
     isolation isolation_for(
         registry_step& step, placement_request const& request) const;
     /// Keeps workers for suspect tasks that found none.
--- a/include/toucanlever/cell/step_planning.hpp
+++ b/include/toucanlever/cell/step_planning.hpp
@@ -4,8 +4,8 @@
 /// the active scheduler, while most events let none of them start.
 #pragma once
 
+#include "toucanlever/cell/isolation.hpp"
 #include "toucanlever/cell/wait_reason.hpp"
-#include "toucanlever/cell/worker_pool.hpp"
 #include "toucanlever/core/clock.hpp"
 
 #include <cstddef>
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -5,6 +5,7 @@
 /// every allocation is made by `allocate`.
 #pragma once
 
+#include "toucanlever/cell/isolation.hpp"
 #include "toucanlever/cell/worker_history.hpp"
 #include "toucanlever/cell/worker_orders.hpp"
 #include "toucanlever/core/clock.hpp"
@@ -43,20 +44,6 @@
         row{allocation_phase::stopping, "stopping"}};
 };
 
-/// Beside which tasks of other jobs a task may be placed. Nothing is placed
-/// beside a task that is isolated, whatever the extent.
-enum class isolation
-{
-    /// Any that are not isolated.
-    none,
-    /// None.
-    from_all,
-    /// Long-running ones: the others end at some time.
-    from_ending_work,
-    /// Any that run already and are not isolated.
-    from_new_work
-};
-
 /// The capacity allocated to a run on a worker.
 struct task_allocation
 {
--- a/src/cell/limited_orders.cpp
+++ b/src/cell/limited_orders.cpp
@@ -3,6 +3,8 @@
 #include "toucanlever/core/metrics.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace toucanlever
 {
@@ -13,9 +15,9 @@
 /// accepts. The others are for instances that relay to it in turn, and for
 /// those that were lost with their connections open.
 constexpr std::size_t shares_of_limit = 16;
-/// One for polls and one for starts and stops.
+/// Of an instance: one for polls, and one for starts and stops.
 constexpr std::size_t min_connections = 2;
-/// Used when the worker's limit is not known.
+/// Of an instance, when the worker's limit is not known.
 constexpr std::size_t default_connections = 4;
 
 } // namespace
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -681,8 +681,14 @@
         capacity += worker->entry.capacity.cpu_millis;
     }
     time_point& since = step.planning.idle_hold_since;
-    bool const is_idle = 2 * free >= capacity;
-    since = !is_idle ? time_point{} : since == time_point{} ? now : since;
+    if (2 * free < capacity)
+    {
+        since = {};
+    }
+    else if (since == time_point{})
+    {
+        since = now;
+    }
 }
 
 void step_planner::hold_back(
@@ -813,7 +819,7 @@
 {
     if (step.planning.wanted_isolation == isolation::from_new_work)
     {
-        // It waits for capacity only.
+        // The step waits for capacity only.
         return;
     }
     time_point now = this->state.dependencies.loop.now();
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -275,6 +275,17 @@
 
 task_id const first_task{{"a", 0, 0}, 0};
 
+/// A long-running task on each of as many workers.
+void submit_service(cell_fixture& fixture, std::uint32_t workers)
+{
+    fixture.submit("serve", workers,
+        [](work_record& record)
+        {
+            record.steps[0].long_running = true;
+            record.steps[0].max_per_worker = 1;
+        });
+}
+
 /// Restarts this many workers, whatever they run.
 void restart_workers(cell_fixture& fixture, std::size_t count)
 {
@@ -1683,12 +1694,7 @@
 {
     cell_fixture fixture;
     fixture.begin_term();
-    fixture.submit("serve", 4,
-        [](work_record& record)
-        {
-            record.steps[0].long_running = true;
-            record.steps[0].max_per_worker = 1;
-        });
+    submit_service(fixture, 4);
     fixture.run_for(second);
     submit_wide_gang(fixture, 4);
     fixture.run_for(second);
@@ -2035,12 +2041,7 @@
 {
     cell_fixture fixture(2);
     fixture.begin_term();
-    fixture.submit("serve", 2,
-        [](work_record& job)
-        {
-            job.steps[0].long_running = true;
-            job.steps[0].max_per_worker = 1;
-        });
+    submit_service(fixture, 2);
     fixture.run_for(2 * second);
     fixture.submit("a", 1);
     fixture.run_for(second);
@@ -2061,12 +2062,7 @@
 {
     cell_fixture fixture(2);
     fixture.begin_term();
-    fixture.submit("serve", 2,
-        [](work_record& job)
-        {
-            job.steps[0].long_running = true;
-            job.steps[0].max_per_worker = 1;
-        });
+    submit_service(fixture, 2);
     fixture.run_for(2 * second);
     fixture.submit("a", 1);
     for (int i = 0; i < 5; ++i)
