Orders that were not sent say nothing about their worker

After a burst, a worker could get no work for two seconds and more, for orders that it has never seen.

Cause: limited_orders reported an order that waited for too long as not_done, which counts as a failure of the worker; three in a row quarantine it.

Change: an outcome of its own, not_sent. The task is placed again.

Measured: dispatcher::orders_that_were_not_sent_quarantine_no_worker fails with not_done in its place and passes with not_sent; all 504 unit tests pass.

--- a/include/toucanlever/cell/limited_orders.hpp
+++ b/include/toucanlever/cell/limited_orders.hpp
@@ -22,7 +22,7 @@
 
 /// Passes orders on to `orders`, at most `max_orders` starts and stops to one
 /// worker at the same time; further ones wait in the order of their arrival. An
-/// order that has waited for `max_wait` is reported as `not_done`. Polls do not
+/// order that has waited for `max_wait` is reported as `not_sent`. Polls do not
 /// wait: an active scheduler sends one at a time to each worker.
 class limited_orders final : public worker_orders
 {
--- a/include/toucanlever/cell/worker_orders.hpp
+++ b/include/toucanlever/cell/worker_orders.hpp
@@ -63,7 +63,10 @@
     in_doubt,
     /// A later order of the same scheduler reached the worker first; the order
     /// had no effect. Set by the scheduler, not by workers.
-    overtaken
+    overtaken,
+    /// The instance that was to send the order has not, because earlier ones to
+    /// the worker are unanswered. Says nothing about the worker.
+    not_sent
 };
 
 template <>
@@ -79,7 +82,8 @@
         row{order_outcome::not_done, "not-done"},
         row{order_outcome::other_incarnation, "other-incarnation"},
         row{order_outcome::in_doubt, "in-doubt"},
-        row{order_outcome::overtaken, "overtaken"}};
+        row{order_outcome::overtaken, "overtaken"},
+        row{order_outcome::not_sent, "not-sent"}};
 };
 
 /// The reply to a start or stop order; `clock_ms` is the worker's clock, or -1
--- a/src/cell/limited_orders.cpp
+++ b/src/cell/limited_orders.cpp
@@ -175,7 +175,7 @@
         {
             return;
         }
-        done({order_outcome::not_done, -1,
+        done({order_outcome::not_sent, -1,
             "earlier orders to the worker are unanswered"});
     }
 }
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -1653,6 +1653,22 @@
     cr_assert(fixture.starts_of({{"gang-0", 0, 0}, 0}) == 1U);
 }
 
+// Guards against a worker that gets no work for seconds after a burst, for
+// orders that it has never seen.
+Test(dispatcher, orders_that_were_not_sent_quarantine_no_worker)
+{
+    cell_fixture fixture(1);
+    fixture.begin_term();
+    constexpr int jobs = 3;
+    for (int i = 0; i < jobs; ++i)
+    {
+        fixture.workers.workers["w0"].refuse_next = order_outcome::not_sent;
+        fixture.submit("job" + std::to_string(i), 1);
+        fixture.run_for(milliseconds(300));
+    }
+    cr_assert(fixture.workers.running_count() == std::size_t{jobs});
+}
+
 /// A gang whose tasks each need a whole worker.
 void submit_wide_gang(cell_fixture& fixture, std::uint32_t tasks)
 {
