Wait for 10 s before a suspect task runs beside other work

Cause: a crash beside other work does not speak against the task alone, so that one more worker crashes before the job fails.

Change: 10 s. Work on the sites takes some 5 s, so that a worker that is kept for the task has become free by then; a wait remains that has an end.

--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -37,7 +37,7 @@
 constexpr std::size_t workers_per_kept = 4;
 /// How long a task under which one worker has crashed waits for a worker on
 /// which no other job has work that will end.
-constexpr std::chrono::seconds isolation_patience{5};
+constexpr std::chrono::seconds isolation_patience{10};
 /// How long workers that are mostly idle are held back for a step.
 constexpr std::chrono::seconds max_idle_hold{5};
 
