--- a/src/cell/member_links.cpp
+++ b/src/cell/member_links.cpp
@@ -12,12 +12,13 @@
 /// Three hello periods of 500 ms, and 100 ms of tolerance.
 constexpr milliseconds unresponsive_after{1600};
 constexpr milliseconds sweep_period{500};
-/// After its first start.
+/// How long a process has to be up before its instance is settled; twice as
+/// long for each restart.
 constexpr std::chrono::seconds settle_time{10};
-/// At most 320 s.
+/// Limits it to 320 s.
 constexpr std::uint32_t max_settle_doublings = 5;
-/// A process that began at least this much later is another one. Hellos are
-/// delayed by less.
+/// A process that seems to have begun this much later is another one. A hello
+/// that is delayed by less makes its sender look younger by as much.
 constexpr std::chrono::seconds min_lifetime{1};
 
 } // namespace
