--- a/include/toucanlever/cell/relayed_orders.hpp
+++ b/include/toucanlever/cell/relayed_orders.hpp
@@ -50,7 +50,7 @@
     /// This instance and the members that may relay now. Members that are not
     /// settled are left out: one that loses power soon after each start leaves
     /// connections behind at its workers each time. They are not left out while
-    /// they are most of the cell, whose work the others could not do.
+    /// settled ones are less than a third, who could not do the work of all.
     std::vector<std::string> find_candidates() const;
 
     /// Chooses members anew if the candidates have changed.
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -38,7 +38,8 @@
 /// How long a task under which one worker has crashed waits for a worker on
 /// which no other job has work that will end.
 constexpr std::chrono::seconds isolation_patience{10};
-/// How long workers that are mostly idle are held back for a step.
+/// How long workers with at least half of their processors free are held back
+/// for a step; other work has none of them for that long.
 constexpr std::chrono::seconds max_idle_hold{5};
 
 /// False when the external policy was asked about the worker and refused it.
