--- a/review/standin-3/stop_answers.cpp
+++ b/review/standin-3/stop_answers.cpp
@@ -32,6 +32,7 @@
         std::string id = hex_id(0x5c0e000000000000 + i * 2654435761U);
         answer got = call_once(machine.caller_address(), "POST", "/long/" + id,
             host, job_body("work=100000", steps), call_ms);
+        log.line("client  POST " + id + ": " + std::to_string(got.status));
         if (got.status == 200)
         {
             jobs.push_back(id);
