--- a/include/toucanlever/cell/dispatch_state.hpp
+++ b/include/toucanlever/cell/dispatch_state.hpp
@@ -7,6 +7,7 @@
 #include "toucanlever/cell/advice_query.hpp"
 #include "toucanlever/cell/backlog_forecast.hpp"
 #include "toucanlever/cell/completion_journal.hpp"
+#include "toucanlever/cell/failure_evidence.hpp"
 #include "toucanlever/cell/queue_directory.hpp"
 #include "toucanlever/cell/work_registry.hpp"
 #include "toucanlever/cell/worker_pool.hpp"
@@ -83,6 +84,7 @@
     /// By queue.
     std::map<std::string, approval_estimate> approvals;
     backlog_forecast forecast{};
+    failure_evidence failures{this->registry, this->pool};
 };
 
 } // namespace toucanlever
--- a/include/toucanlever/cell/task_orders.hpp
+++ b/include/toucanlever/cell/task_orders.hpp
@@ -83,6 +83,9 @@
     /// Remembers a start that may still be carried out after the release of its
     /// allocation.
     void note_late_start(std::string const& worker, task_id const& task);
+    /// Notes that a worker has refused the start of a task, without effect.
+    void note_refusal(
+        task_id const& task, std::string const& worker, order_outcome outcome);
     void on_start_unconfirmed(task_id const& task, std::uint64_t run,
         std::string const& worker, order_result const& result);
     void on_stop_result(task_id const& task, std::uint64_t run,
--- a/include/toucanlever/cell/wait_reason.hpp
+++ b/include/toucanlever/cell/wait_reason.hpp
@@ -33,7 +33,9 @@
     /// The policy approves no worker that has enough free capacity.
     not_approved,
     /// More tasks would exceed the cap of the job's customer.
-    customer_cap
+    customer_cap,
+    /// Its tasks fail shortly after each start, and the next one is delayed.
+    restart_delayed
 };
 
 template <>
@@ -49,7 +51,8 @@
         row{wait_reason::no_advice_slot, "no_advice_slot"},
         row{wait_reason::advice_failed, "advice_failed"},
         row{wait_reason::not_approved, "not_approved"},
-        row{wait_reason::customer_cap, "customer_cap"}};
+        row{wait_reason::customer_cap, "customer_cap"},
+        row{wait_reason::restart_delayed, "restart_delayed"}};
 };
 
 /// The number of ready steps by the reason for which they wait.
--- a/include/toucanlever/cell/work_registry.hpp
+++ b/include/toucanlever/cell/work_registry.hpp
@@ -35,8 +35,17 @@
     std::string last_failed_worker;
     /// How many of its runs were stopped because their worker stalled.
     std::uint32_t stalled_runs = 0;
+    /// Failed runs of a long-running task, and refused starts of any task, that
+    /// came shortly after one another.
+    std::uint32_t quick_failures = 0;
+    /// It is not started again before this time.
+    time_point restart_at{};
 
     bool is_waiting() const { return !this->succeeded && this->worker.empty(); }
+    bool is_startable(time_point now) const
+    {
+        return this->is_waiting() && this->restart_at <= now;
+    }
 };
 
 /// The external policy's approval of a worker for a step.
@@ -123,6 +132,10 @@
     step_advice advice;
     /// A task of the step has a `last_failed_worker`.
     bool has_failed_worker = false;
+    /// A task of the step has a `restart_at`.
+    bool has_delayed_restart = false;
+    /// The workers on which its runs have failed, or that have refused them.
+    std::set<std::string> failing_workers;
     /// When the step first became ready.
     time_point ready_at{};
     /// Why it waits, as last logged; `none` until it is late.
@@ -131,6 +144,9 @@
 
     bool done() const { return this->succeeded == this->tasks.size(); }
 
+    /// Number of waiting tasks that may be started now: all or none of a gang.
+    std::uint32_t startable(time_point now) const;
+
     /// A task of the step may be the cause of a worker's crash. All its tasks
     /// that are started from now on run isolated from other jobs, but not from
     /// each other, because their job fails as a whole.
@@ -216,6 +232,11 @@
     /// Records that the task's run failed, or stalled, on this worker.
     void mark_failed_on(task_id const& task, std::string const& worker);
 
+    /// Delays the next start of a task that is restarted without limit: not
+    /// after its first failure, which may be its worker's fault, but longer and
+    /// longer while it fails shortly after each start.
+    void delay_restart(task_id const& task, time_point now);
+
     /// Records that a task of the job was started.
     void mark_started(registry_job& job);
 
--- a/include/toucanlever/cell/worker_pool.hpp
+++ b/include/toucanlever/cell/worker_pool.hpp
@@ -157,10 +157,12 @@
     /// The start time of its process, as reported in its last answer. A
     /// different value means another incarnation.
     std::int64_t incarnation_ms = 0;
-    /// Failed runs on it since the last success.
-    std::uint32_t consecutive_failures = 0;
-    /// It gets no work before this time; set after several consecutive
-    /// failures.
+    /// By step: the runs that failed on it, and the starts that it refused,
+    /// since the last success.
+    std::map<step_id, std::uint32_t> failures;
+    /// How much of `failures` is evidence against it.
+    std::uint32_t counted_failures = 0;
+    /// It gets no work before this time; set by `failure_evidence`.
     time_point quarantined_until{};
     /// Of the current incarnation.
     worker_history history;
@@ -269,10 +271,6 @@
     std::vector<std::pair<task_id, std::string>> allocations_of(
         std::string const& job) const;
 
-    /// Updates the worker's health with the outcome of a run.
-    void record_outcome(
-        std::string const& worker, bool succeeded, time_point now);
-
 private:
     void add_usage(task_allocation const& allocation);
     void subtract_usage(task_allocation const& allocation);
--- a/include/toucanlever/cell/worker_reports.hpp
+++ b/include/toucanlever/cell/worker_reports.hpp
@@ -82,6 +82,9 @@
     void settle_completion(
         std::string const& worker, completion_receipt const& receipt);
     /// Counts the work of a run that succeeded for the backlog forecast.
+    /// Notes what the end of a run says about its worker and its task.
+    void note_outcome(std::string const& worker,
+        completed_run const& completion, time_point now);
     void note_completed_work(
         completed_run const& completion, completion_effect const& effect);
     void on_job_ended(std::string const& id);
--- a/src/cell/step_placement.cpp
+++ b/src/cell/step_placement.cpp
@@ -72,7 +72,7 @@
                                  ? one.worker->speed
                                  : worker_speed::normal;
         return std::tuple(failed_here,
-            one.worker->consecutive_failures > 0 ||
+            one.worker->counted_failures > 0 ||
                 one.worker->history.is_stalled(),
             !one.ready, held_back, speed, off_data_rack,
             one.worker->free.cpu_millis, one.worker->free.memory_bytes,
--- a/src/cell/step_planner.cpp
+++ b/src/cell/step_planner.cpp
@@ -497,18 +497,18 @@
 }
 
 std::uint32_t step_planner::tasks_within_cap_of(
-    registry_job const& job, registry_step const& step)
+    registry_job const& job, registry_step const& step, std::uint32_t startable)
 {
     customer_terms const& accepted = job.record.customer;
     if (accepted.name.empty())
     {
-        return step.waiting;
+        return startable;
     }
     resources const& cap =
         cap_in_force(accepted, this->state.dependencies.queues);
     if (!limits_use(cap))
     {
-        return step.waiting;
+        return startable;
     }
     time_point now = this->state.dependencies.loop.now();
     resources used = this->state.pool.usage_of(accepted.name);
@@ -517,8 +517,8 @@
         used += this->unseen.of(accepted.name, now);
     }
     std::uint32_t tasks = tasks_within_cap(
-        cap, used, step.spec->need, step.waiting, step.spec->gang);
-    if (tasks < step.waiting)
+        cap, used, step.spec->need, startable, step.spec->gang);
+    if (tasks < startable)
     {
         this->caps.note_limited(
             accepted.name, used.cpu_millis, cap.cpu_millis, now);
@@ -547,12 +547,19 @@
         this->orders.stop_step(rank.id);
         return wait_reason::gang_ending;
     }
-    std::uint32_t const within_cap = this->tasks_within_cap_of(*job, *step);
+    time_point const now = this->state.dependencies.loop.now();
+    std::uint32_t const startable = step->startable(now);
+    if (startable == 0)
+    {
+        return wait_reason::restart_delayed;
+    }
+    std::uint32_t const within_cap =
+        this->tasks_within_cap_of(*job, *step, startable);
     if (within_cap == 0)
     {
         return wait_reason::customer_cap;
     }
-    bool const is_limited = within_cap < step->waiting;
+    bool const is_limited = within_cap < startable;
     bool needs_tickets = job->record.queue.advice.required;
     bool may_request_advice =
         needs_tickets && this->can_request_advice(*job, *step);
@@ -574,8 +581,7 @@
     }
     ++this->searches;
     std::vector<std::string> chosen =
-        place_step(this->candidates_for(*step, needs_tickets), request,
-            this->state.dependencies.loop.now());
+        place_step(this->candidates_for(*step, needs_tickets), request, now);
     if (chosen.size() < request.tasks && may_request_advice)
     {
         this->request_more_advice(*job, *step, request);
@@ -614,6 +620,10 @@
     {
         return wait_reason::customer_cap;
     }
+    if (step->startable(now) == 0)
+    {
+        return wait_reason::restart_delayed;
+    }
     return needs_tickets ? this->advice_wait(*job, *step)
                          : wait_reason::no_capacity;
 }
@@ -902,12 +912,13 @@
 void step_planner::allocate(registry_job const& job, registry_step& step,
     std::vector<std::string> chosen, resources const& need)
 {
+    time_point now = this->state.dependencies.loop.now();
     if (step.has_failed_worker)
     {
         std::vector<std::string_view> last_failed;
         for (registry_task const& task : step.tasks)
         {
-            if (task.is_waiting())
+            if (task.is_startable(now))
             {
                 last_failed.push_back(task.last_failed_worker);
             }
@@ -915,14 +926,13 @@
         avoid_failed_workers(chosen, last_failed);
     }
     std::uint64_t first_run = this->next_run_number(step, step.spec->gang);
-    time_point now = this->state.dependencies.loop.now();
     std::set<std::string> const workers(chosen.begin(), chosen.end());
     std::size_t next = 0;
     for (std::uint32_t i = 0; i < step.tasks.size() && next < chosen.size();
          ++i)
     {
         registry_task& task = step.tasks[i];
-        if (!task.is_waiting())
+        if (!task.is_startable(now))
         {
             continue;
         }
--- a/src/cell/task_orders.cpp
+++ b/src/cell/task_orders.cpp
@@ -315,17 +315,29 @@
             // Invalidates the ticket, so that another one is requested.
             step->advice.approved[worker].valid_until = {};
         }
-        if (result.outcome == order_outcome::not_done)
-        {
-            this->state.pool.record_outcome(
-                worker, false, this->state.dependencies.loop.now());
-        }
+        this->note_refusal(task, worker, result.outcome);
         this->release_task(worker, task);
     }
     this->stop_broken_gang(task.step);
     this->state.on_work_changed();
 }
 
+void task_orders::note_refusal(
+    task_id const& task, std::string const& worker, order_outcome outcome)
+{
+    time_point const now = this->state.dependencies.loop.now();
+    if (outcome == order_outcome::not_done)
+    {
+        this->state.failures.record_failure(worker, task.step, now);
+        this->state.registry.mark_failed_on(task, worker);
+        this->state.registry.delay_restart(task, now);
+    }
+    else if (outcome == order_outcome::refused_no_capacity)
+    {
+        this->state.registry.delay_restart(task, now);
+    }
+}
+
 void task_orders::send_stop(std::string const& worker, task_id const& task)
 {
     pool_worker* pool_entry = this->state.pool.find(worker);
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -30,9 +30,42 @@
 /// Crashes after which a task is given up if it was isolated in one of them.
 /// Only those that `crash_evidence` finds to speak against it are recorded.
 constexpr std::size_t max_crashes = 2;
+/// A task that fails this soon after it could be started again is delayed
+/// further.
+constexpr std::chrono::seconds quick_failure{3};
+/// Doubles with each failure. By the platform's rule, no job has to wait for 3
+/// s beside free capacity; planning it may take some 300 ms.
+constexpr milliseconds first_restart_delay{250};
+constexpr milliseconds max_restart_delay{2000};
+
+milliseconds restart_delay(std::uint32_t failures)
+{
+    if (failures < 2)
+    {
+        return milliseconds(0);
+    }
+    milliseconds delay = first_restart_delay;
+    for (std::uint32_t i = 2; i < failures && delay < max_restart_delay; ++i)
+    {
+        delay *= 2;
+    }
+    return std::min(delay, max_restart_delay);
+}
 
 } // namespace
 
+std::uint32_t registry_step::startable(time_point now) const
+{
+    if (!this->has_delayed_restart)
+    {
+        return this->waiting;
+    }
+    auto const startable = static_cast<std::uint32_t>(std::count_if(
+        this->tasks.begin(), this->tasks.end(),
+        [now](registry_task const& task) { return task.is_startable(now); }));
+    return this->spec->gang && startable < this->waiting ? 0 : startable;
+}
+
 bool registry_step::has_crashed_repeatedly() const
 {
     return std::any_of(this->crashes.begin(), this->crashes.end(),
@@ -293,6 +326,19 @@
     }
 }
 
+void work_registry::delay_restart(task_id const& task, time_point now)
+{
+    registry_task* entry = this->find(task);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    bool const is_quick = now <= entry->restart_at + quick_failure;
+    entry->quick_failures = is_quick ? entry->quick_failures + 1 : 1;
+    entry->restart_at = now + restart_delay(entry->quick_failures);
+    this->find(task.step)->has_delayed_restart = true;
+}
+
 completion_effect work_registry::record_completion(
     task_id const& task, std::uint64_t run, run_outcome outcome, time_point now)
 {
--- a/src/cell/worker_pool.cpp
+++ b/src/cell/worker_pool.cpp
@@ -6,18 +6,6 @@
 
 namespace toucanlever
 {
-namespace
-{
-
-/// A worker is quarantined after this many consecutive failures. A few in a
-/// hundred jobs fail by their own fault, so three consecutive failures are rare
-/// on a healthy worker.
-constexpr std::uint32_t quarantine_after_failures = 3;
-constexpr std::chrono::seconds quarantine_duration{2};
-/// Each further failure doubles the duration, up to this many times.
-constexpr std::uint32_t max_quarantine_doublings = 2;
-
-} // namespace
 
 bool pool_worker::accepts(std::string const& job, isolation wanted) const
 {
@@ -228,28 +216,4 @@
     return found;
 }
 
-void worker_pool::record_outcome(
-    std::string const& worker, bool succeeded, time_point now)
-{
-    pool_worker* target = this->find(worker);
-    if (target == nullptr)
-    {
-        return;
-    }
-    if (succeeded)
-    {
-        target->consecutive_failures = 0;
-        return;
-    }
-    ++target->consecutive_failures;
-    if (target->consecutive_failures >= quarantine_after_failures)
-    {
-        auto doublings =
-            std::min(target->consecutive_failures - quarantine_after_failures,
-                max_quarantine_doublings);
-        target->quarantined_until =
-            now + quarantine_duration * (1U << doublings);
-    }
-}
-
 } // namespace toucanlever
--- a/src/cell/worker_reports.cpp
+++ b/src/cell/worker_reports.cpp
@@ -595,17 +595,12 @@
     if (counts)
     {
         time_point now = this->state.dependencies.loop.now();
-        this->state.pool.record_outcome(
-            worker, completion.outcome == run_outcome::succeeded, now);
         effect = this->state.registry.record_completion(
             completion.task, completion.run, completion.outcome, now);
+        this->note_outcome(worker, completion, now);
         this->record_completion(worker, receipt, completion, effect.job_ended);
         this->note_completed_work(completion, effect);
     }
-    if (completion.outcome == run_outcome::failed)
-    {
-        this->state.registry.mark_failed_on(completion.task, worker);
-    }
     if (completion.outcome == run_outcome::succeeded)
     {
         this->orders.release_succeeded(completion.task.step);
@@ -620,6 +615,24 @@
     }
 }
 
+void worker_reports::note_outcome(
+    std::string const& worker, completed_run const& completion, time_point now)
+{
+    task_id const& task = completion.task;
+    if (completion.outcome == run_outcome::succeeded)
+    {
+        this->state.failures.record_success(worker, task.step, now);
+        return;
+    }
+    this->state.failures.record_failure(worker, task.step, now);
+    this->state.registry.mark_failed_on(task, worker);
+    if (this->is_long_running(task))
+    {
+        // Other tasks have a limit of attempts.
+        this->state.registry.delay_restart(task, now);
+    }
+}
+
 void worker_reports::note_completed_work(
     completed_run const& completion, completion_effect const& effect)
 {
--- a/tests/unit/dispatcher.tests.cpp
+++ b/tests/unit/dispatcher.tests.cpp
@@ -3001,6 +3001,167 @@
     cr_assert(fixture.workers.workers["w0"].starts.size() == 4U);
 }
 
+namespace
+{
+
+/// Runs a cell with a steady queue of short jobs beside work that fails.
+class failing_work_fixture : public cell_fixture
+{
+public:
+    using cell_fixture::cell_fixture;
+
+    /// For so long, but not in its last 5 s, submits short jobs, each of half a
+    /// worker. Their runs end after 200 ms to 300 ms; those that `fails` names
+    /// as failed.
+    void run_short_jobs(milliseconds duration,
+        std::function<bool(std::string const& worker, task_id const&)> const&
+            fails)
+    {
+        constexpr milliseconds interval{100};
+        for (milliseconds elapsed{0}; elapsed < duration; elapsed += interval)
+        {
+            bool const is_due =
+                elapsed % this->burst_interval == milliseconds(0) &&
+                elapsed + 5 * second < duration;
+            for (int i = 0; is_due && i < this->jobs_in_burst; ++i)
+            {
+                this->short_jobs.push_back(
+                    "short" + std::to_string(this->short_jobs.size()));
+                this->submit(this->short_jobs.back(), 1,
+                    [](work_record& record)
+                    { record.steps[0].need.cpu_millis = worker_cpu / 2; });
+            }
+            this->run_for(interval);
+            this->end_old_runs(fails);
+        }
+    }
+
+    std::size_t count_short_jobs(work_state state)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->short_jobs.begin(), this->short_jobs.end(),
+                [this, state](std::string const& job)
+                { return this->state_of(job) == state; }));
+    }
+
+    milliseconds burst_interval{100};
+    int jobs_in_burst = 1;
+    std::vector<std::string> short_jobs;
+
+private:
+    void end_old_runs(
+        std::function<bool(std::string const&, task_id const&)> const& fails)
+    {
+        for (auto& [id, worker] : this->workers.workers)
+        {
+            std::map<task_id, std::uint64_t> const running = worker.running;
+            for (auto const& [task, run] : running)
+            {
+                int& age = this->ages[{task, run}];
+                constexpr int intervals = 2;
+                if (++age > intervals)
+                {
+                    this->workers.end_run(id, task,
+                        fails(id, task) ? run_outcome::failed
+                                        : run_outcome::succeeded);
+                }
+            }
+        }
+    }
+
+    std::map<std::pair<task_id, std::uint64_t>, int> ages;
+};
+
+bool is_short(task_id const& task)
+{
+    return task.step.job.starts_with("short");
+}
+
+} // namespace
+
+// Guards against a service that fails wherever it runs and thereby takes all
+// workers from other jobs, and against one that is restarted without a pause.
+Test(dispatcher, a_service_that_fails_everywhere_keeps_no_worker_from_others)
+{
+    failing_work_fixture fixture(4);
+    fixture.begin_term();
+    constexpr std::uint32_t tasks = 5;
+    fixture.submit("service", tasks,
+        [](work_record& record) { record.steps[0].long_running = true; });
+    fixture.run_short_jobs(20 * second,
+        [](std::string const&, task_id const& task)
+        { return !is_short(task); });
+    cr_assert(fixture.count_short_jobs(work_state::succeeded) ==
+              fixture.short_jobs.size());
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        std::size_t const starts = fixture.starts_of({{"service", 0, 0}, i});
+        cr_assert(starts >= 7U, "%zu", starts);
+        cr_assert(starts <= 14U, "%zu", starts);
+    }
+}
+
+// Guards against jobs that can never be done, each of many tasks, which take
+// all workers from other jobs.
+Test(dispatcher, jobs_that_fail_everywhere_keep_no_worker_from_others)
+{
+    failing_work_fixture fixture(4);
+    fixture.begin_term();
+    for (int round = 0; round < 4; ++round)
+    {
+        for (int i = 0; i < 3; ++i)
+        {
+            fixture.submit("poison" + std::to_string(round) + std::to_string(i),
+                10, [](work_record& record) { record.queue.max_attempts = 4; });
+        }
+        fixture.run_short_jobs(8 * second,
+            [](std::string const&, task_id const& task)
+            { return !is_short(task); });
+        cr_assert(fixture.count_short_jobs(work_state::succeeded) ==
+                  fixture.short_jobs.size());
+    }
+}
+
+// Guards against a gang whose starts are refused everywhere: it is restarted
+// without a pause, and takes all workers from other jobs.
+Test(dispatcher, a_job_whose_starts_are_refused_keeps_no_worker_from_others)
+{
+    for (bool const is_gang : {false, true})
+    {
+        failing_work_fixture fixture(4);
+        fixture.begin_term();
+        fixture.workers.refused_jobs.insert("refused");
+        fixture.submit("refused", 3,
+            [is_gang](work_record& record) { record.steps[0].gang = is_gang; });
+        fixture.run_short_jobs(20 * second,
+            [](std::string const&, task_id const&) { return false; });
+        cr_assert(fixture.count_short_jobs(work_state::succeeded) ==
+                  fixture.short_jobs.size());
+        cr_assert(fixture.workers.refused_starts >= 3);
+        cr_assert(fixture.workers.refused_starts <= 40, "%d",
+            fixture.workers.refused_starts);
+    }
+}
+
+// Guards against a worker that fails all it gets and still gets work, so that
+// jobs use up their attempts there.
+Test(dispatcher, a_worker_that_fails_all_it_gets_is_kept_from_work)
+{
+    failing_work_fixture fixture(3);
+    fixture.begin_term();
+    // One more than fit on the other two workers.
+    fixture.burst_interval = milliseconds(500);
+    fixture.jobs_in_burst = 5;
+    fixture.run_short_jobs(25 * second,
+        [](std::string const& worker, task_id const&)
+        { return worker == "w0"; });
+    cr_assert(fixture.count_short_jobs(work_state::succeeded) ==
+              fixture.short_jobs.size());
+    std::size_t const starts = fixture.workers.workers["w0"].starts.size();
+    cr_assert(starts >= 3U, "%zu", starts);
+    cr_assert(starts <= 12U, "%zu", starts);
+}
+
 Test(dispatcher, a_failed_task_goes_to_another_worker)
 {
     // Guards against a task that uses up its attempts on one worker: the later
--- a/tests/unit/fake_workers.hpp
+++ b/tests/unit/fake_workers.hpp
@@ -89,6 +89,15 @@
             done({order_outcome::in_doubt, -1, "silent"});
             return;
         }
+        if (this->refused_jobs.contains(order.task.step.job))
+        {
+            ++this->refused_starts;
+            this->loop.post(
+                [done, clock_ms = this->clock_of(worker)] {
+                    done({order_outcome::not_done, clock_ms, {}});
+                });
+            return;
+        }
         if (worker.refuse_next)
         {
             order_outcome refusal = *worker.refuse_next;
@@ -312,6 +321,9 @@
 
     event_loop& loop;
     std::map<std::string, fake_cell_worker> workers;
+    /// Every worker refuses the starts of these jobs.
+    std::set<std::string> refused_jobs;
+    int refused_starts = 0;
     std::vector<std::pair<std::string, task_id>> all_starts;
     /// Called after each start that a worker carries out, before its reply.
     std::function<void(fake_cell_worker&)> on_started;
--- a/tests/unit/step_placement.tests.cpp
+++ b/tests/unit/step_placement.tests.cpp
@@ -174,21 +174,6 @@
     }
 }
 
-Test(worker_pool, a_worker_is_quarantined_after_consecutive_failures)
-{
-    worker_pool pool;
-    add(pool, "a", 8000);
-    for (int i = 0; i < 3; ++i)
-    {
-        pool.record_outcome("a", false, now);
-    }
-    cr_assert(place_step(pool, make_request(1000, 1), now).empty());
-    auto later = now + std::chrono::seconds(3);
-    cr_assert(place_step(pool, make_request(1000, 1), later).size() == 1U);
-    pool.record_outcome("a", true, later);
-    cr_assert(pool.find("a")->consecutive_failures == 0U);
-}
-
 Test(step_placement, prefers_fast_workers_only_where_the_request_does)
 {
     // Guards against batches that occupy the workers urgent tasks need.
@@ -199,7 +184,7 @@
     cr_assert(place_step(pool, request, now).front() == "nearly-full");
     request.prefers_fast_workers = true;
     cr_assert(place_step(pool, request, now).front() == "fast");
-    pool.record_outcome("fast", false, now);
+    pool.find("fast")->counted_failures = 1;
     cr_assert(place_step(pool, request, now).front() == "nearly-full");
 }
 
