--- a/include/toucanlever/http/server.hpp
+++ b/include/toucanlever/http/server.hpp
@@ -38,9 +38,13 @@
     unsigned max_connections = 4096;
     /// Maximum time from the first byte of a request to the last.
     milliseconds request_time{10000};
+    /// Maximum time for sending the last answers when the server is destroyed.
+    milliseconds closing_time{300};
 };
 
-/// Listens on one address until destroyed.
+/// Listens on one address until destroyed. Whatever has been read by then is
+/// answered: what still waits, with 504. The destructor returns when the
+/// answers are sent, and after `http_limits::closing_time` at the latest.
 class http_server
 {
 public:
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <atomic>
+#include <condition_variable>
 #include <cstring>
 #include <map>
 #include <microhttpd.h>
@@ -130,6 +131,8 @@
 {
     http_request request;
     bool too_large = false;
+    /// It has a response, and counts as open, without a suspended exchange.
+    bool is_refused = false;
     std::shared_ptr<suspended_exchange> suspended;
 };
 
@@ -151,6 +154,15 @@
     return json_response(status, body.dump());
 }
 
+/// For requests that have no other answer when the server closes. A handler may
+/// have begun to work on them, so 503 would promise too much.
+http_response make_closing_response()
+{
+    return make_error_response(http_status::gateway_timeout,
+        error(error_code::outcome_unknown, "the instance is shutting down",
+            "await-handler", {}, run_state::unknown));
+}
+
 } // namespace
 
 class http_server::impl
@@ -187,7 +199,8 @@
     {
         this->loop.cancel(this->sweep_timer);
         this->stop_accepting();
-        this->resume_all();
+        this->answer_all();
+        this->wait_until_sent();
         MHD_stop_daemon(this->daemon);
     }
 
@@ -246,6 +259,8 @@
         }
         if (current->too_large)
         {
+            current->is_refused = true;
+            ++this->open;
             return queue_response(connection,
                 make_error_response(
                     413, error(error_code::too_large,
@@ -278,9 +293,16 @@
         current.suspended =
             std::make_shared<suspended_exchange>(connection, this->open);
         auto waiting = current.suspended;
+        bool closes = false;
         {
             std::lock_guard lock(this->mutex);
             this->exchanges.emplace(waiting.get(), waiting);
+            closes = this->closing;
+        }
+        if (closes)
+        {
+            waiting->answer(make_closing_response());
+            return;
         }
         this->loop.post(
             [this, waiting, request = std::move(current.request)]() mutable
@@ -296,17 +318,24 @@
         {
             return;
         }
-        if (current->suspended)
-        {
-            current->suspended->mark_ended();
-            std::lock_guard lock(owner->mutex);
-            owner->exchanges.erase(current->suspended.get());
-        }
+        owner->note_ended(*current);
         delete current;
         *state = nullptr;
         owner->expect_next_request(connection);
     }
 
+    void note_ended(incoming_request const& ended)
+    {
+        std::lock_guard lock(this->mutex);
+        if (ended.suspended)
+        {
+            ended.suspended->mark_ended();
+            this->exchanges.erase(ended.suspended.get());
+        }
+        this->open -= ended.is_refused ? 1 : 0;
+        this->ended.notify_all();
+    }
+
     static void on_connection(void* self, MHD_Connection* connection, void**,
         MHD_ConnectionNotificationCode code)
     {
@@ -362,11 +391,13 @@
         }
     }
 
-    void resume_all()
+    /// Answers the requests that wait, and from now on each one at once.
+    void answer_all()
     {
         std::vector<std::shared_ptr<suspended_exchange>> waiting;
         {
             std::lock_guard lock(this->mutex);
+            this->closing = true;
             for (auto const& entry : this->exchanges)
             {
                 waiting.push_back(entry.second);
@@ -374,15 +405,18 @@
         }
         for (auto const& exchange : waiting)
         {
-            // The handler has begun to work on the request, so 503 would
-            // promise too much.
-            exchange->answer(make_error_response(http_status::gateway_timeout,
-                error(error_code::outcome_unknown,
-                    "the instance is shutting down", "await-handler", {},
-                    run_state::unknown)));
+            exchange->answer(make_closing_response());
         }
     }
 
+    /// Waits in real time, because the library's thread sends the answers.
+    void wait_until_sent()
+    {
+        std::unique_lock lock(this->mutex);
+        this->ended.wait_for(lock, this->limits.closing_time,
+            [this] { return this->open == 0; });
+    }
+
     event_loop& loop;
     http_handler& handler;
     http_limits limits;
@@ -390,6 +424,10 @@
     bool quiesced = false;
     std::atomic<std::size_t> open = 0;
     std::mutex mutex;
+    // Notified when a request has ended, with or without an answer.
+    std::condition_variable ended;
+    // No request is passed to the handler any more.
+    bool closing = false;
     std::map<suspended_exchange*, std::shared_ptr<suspended_exchange>>
         exchanges;
     std::map<MHD_Connection*, connection_clock> clocks;
--- a/tests/unit/caller_api.tests.cpp
+++ b/tests/unit/caller_api.tests.cpp
@@ -64,8 +64,9 @@
         this->run_for(milliseconds(200));
     }
 
-    http_response call(std::string const& method, std::string const& path,
-        std::string const& key = {})
+    /// Sends a request, whose answer the exchange keeps.
+    std::shared_ptr<kept_exchange> begin_call(std::string const& method,
+        std::string const& path, std::string const& key = {})
     {
         http_request request;
         request.method = method;
@@ -78,6 +79,13 @@
         request.body = R"({"Steps":[{"Count":1}]})";
         auto exchange = std::make_shared<kept_exchange>();
         this->callers.on_request(std::move(request), exchange);
+        return exchange;
+    }
+
+    http_response call(std::string const& method, std::string const& path,
+        std::string const& key = {})
+    {
+        auto exchange = this->begin_call(method, path, key);
         if (exchange->answered.status == 0)
         {
             this->run_for(milliseconds(3000));
@@ -125,7 +133,7 @@
         make_settings()};
     caller_authenticator authenticator{this->queues, milliseconds(5000)};
     caller_api callers{this->loop, this->node, this->queues, "node",
-        this->authenticator, this->configuration};
+        this->authenticator, this->configuration, milliseconds(300)};
 };
 
 constexpr char one_tenant[] =
@@ -246,3 +254,46 @@
     }
     cr_assert(log.find("secret") == std::string::npos);
 }
+
+// Guards against queries that still wait for the outcome of their job when the
+// instance ends.
+Test(caller_api, no_query_waits_until_the_instance_ends)
+{
+    single_instance cell;
+    cell.configure("");
+    cr_assert(cell.status("POST", job_path) == 200);
+    auto answered_within = [&cell](milliseconds limit)
+    {
+        auto exchange = cell.begin_call("GET", job_path);
+        cell.run_for(limit);
+        return exchange->answered.status == 200;
+    };
+    cr_assert_not(answered_within(milliseconds(200)));
+    cr_assert(answered_within(milliseconds(400)));
+    // Long before the end, queries wait as always.
+    cell.callers.begin_shutdown(cell.loop.now() + milliseconds(1200));
+    auto early = cell.begin_call("GET", job_path);
+    cell.run_for(milliseconds(200));
+    cr_assert(early->answered.status == 0);
+    cell.run_for(milliseconds(600));
+    cr_assert(early->answered.status == 200);
+    auto shorter = cell.begin_call("GET", job_path);
+    cell.run_for(milliseconds(240));
+    cr_assert(shorter->answered.status == 200);
+    cr_assert(cell.begin_call("GET", job_path)->answered.status == 200);
+}
+
+// Guards against submissions that an instance takes and cannot finish.
+Test(caller_api, a_job_is_refused_shortly_before_the_instance_ends)
+{
+    single_instance cell;
+    cell.configure("");
+    cell.callers.begin_shutdown(cell.loop.now() + milliseconds(600));
+    cr_assert(cell.begin_call("POST", job_path)->answered.status == 200);
+    cell.run_for(milliseconds(440));
+    auto refused = cell.begin_call("POST", "/p/00000000000000ab");
+    cr_assert(refused->answered.status == 503);
+    cr_assert(find_field(refused->answered.headers, "Retry-After").has_value());
+    cr_assert(find_field(refused->answered.headers, "Connection") == "close");
+    cr_assert(cell.begin_call("GET", job_path)->answered.status == 200);
+}
--- a/tests/unit/http_server.tests.cpp
+++ b/tests/unit/http_server.tests.cpp
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 using namespace toucanlever;
 
@@ -32,6 +33,45 @@
     }
 };
 
+/// Never answers.
+class silent_handler final : public http_handler
+{
+public:
+    void on_request(
+        http_request, std::shared_ptr<http_exchange> exchange) override
+    {
+        this->exchanges.push_back(std::move(exchange));
+    }
+
+    std::vector<std::shared_ptr<http_exchange>> exchanges;
+};
+
+/// Connects and sends `text`; returns the socket.
+int open_and_send(std::string const& ip, std::string const& text)
+{
+    int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in remote{};
+    remote.sin_family = AF_INET;
+    remote.sin_port = htons(port);
+    inet_pton(AF_INET, ip.c_str(), &remote.sin_addr);
+    ::connect(socket, reinterpret_cast<sockaddr*>(&remote), sizeof remote);
+    ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
+    return socket;
+}
+
+/// Returns all bytes until the server closes the connection.
+std::string receive_and_close(int socket)
+{
+    std::string answer;
+    char chunk[4096];
+    for (ssize_t got = 0; (got = ::recv(socket, chunk, sizeof chunk, 0)) > 0;)
+    {
+        answer.append(chunk, static_cast<std::size_t>(got));
+    }
+    ::close(socket);
+    return answer;
+}
+
 /// Runs a server on its own thread and sends raw requests to it.
 class server_fixture
 {
@@ -56,22 +96,7 @@
     /// connection.
     std::string send(std::string const& text) const
     {
-        int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in remote{};
-        remote.sin_family = AF_INET;
-        remote.sin_port = htons(port);
-        inet_pton(AF_INET, this->address.c_str(), &remote.sin_addr);
-        ::connect(socket, reinterpret_cast<sockaddr*>(&remote), sizeof remote);
-        ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
-        std::string answer;
-        char chunk[4096];
-        for (ssize_t got = 0;
-             (got = ::recv(socket, chunk, sizeof chunk, 0)) > 0;)
-        {
-            answer.append(chunk, static_cast<std::size_t>(got));
-        }
-        ::close(socket);
-        return answer;
+        return receive_and_close(open_and_send(this->address, text));
     }
 
 private:
@@ -119,19 +144,6 @@
 // runs.
 Test(http_server, a_request_without_an_answer_at_shutdown_is_not_refused)
 {
-    /// Never answers.
-    class silent_handler final : public http_handler
-    {
-    public:
-        void on_request(
-            http_request, std::shared_ptr<http_exchange> exchange) override
-        {
-            this->exchange = std::move(exchange);
-        }
-
-        std::shared_ptr<http_exchange> exchange;
-    };
-
     std::string const address = own_ip(1) + ":" + std::to_string(port);
     steady_clock time;
     event_loop loop{time};
@@ -149,8 +161,8 @@
         std::optional<command_result> got;
         client.send(
             command, [&got](command_result const& result) { got = result; });
-        cr_assert(run_until(
-            loop, [&handler] { return handler.exchange != nullptr; }));
+        cr_assert(
+            run_until(loop, [&handler] { return !handler.exchanges.empty(); }));
         server.reset();
         cr_assert(run_until(loop, [&got] { return got.has_value(); }));
         bool is_unknown =
@@ -159,3 +171,75 @@
         cr_assert(got->delivery == http_delivery::in_doubt || is_unknown);
     }
 }
+
+// Guards against callers whose connections are closed without an answer when an
+// instance ends: those whose requests wait, and those whose requests no handler
+// has seen yet.
+Test(http_server, all_requests_that_were_read_are_answered_at_shutdown)
+{
+    std::string const ip = own_ip(1);
+    steady_clock time;
+    event_loop loop{time};
+    silent_handler handler;
+    auto server = std::make_unique<http_server>(
+        loop, ip + ":" + std::to_string(port), handler, http_limits{});
+    constexpr std::size_t callers = 60;
+    std::string const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::vector<int> sockets;
+    while (sockets.size() < callers / 2)
+    {
+        sockets.push_back(open_and_send(ip, request));
+    }
+    cr_assert(run_until(
+        loop, [&handler] { return handler.exchanges.size() == callers / 2; }));
+    while (sockets.size() < callers)
+    {
+        sockets.push_back(open_and_send(ip, request));
+    }
+    cr_assert(run_until(
+        loop, [&server] { return server->in_progress() == callers; }));
+    server.reset();
+    for (int socket : sockets)
+    {
+        std::string const answer = receive_and_close(socket);
+        cr_assert(answer.starts_with("HTTP/1.1 504"), "%s", answer.c_str());
+        cr_assert(answer.find(R"("ran":"unknown")") != std::string::npos);
+    }
+}
+
+// Guards against requests that arrive while the last answers are sent, and get
+// none.
+Test(http_server, requests_that_arrive_during_the_shutdown_are_answered)
+{
+    std::string const ip = own_ip(1);
+    steady_clock time;
+    event_loop loop{time};
+    silent_handler handler;
+    constexpr int attempts = 20;
+    for (int i = 0; i < attempts; ++i)
+    {
+        auto server = std::make_unique<http_server>(
+            loop, ip + ":" + std::to_string(port), handler, http_limits{});
+        // A caller that never reads its answer, which is too large for the
+        // buffers of its connection, keeps the server from closing at once.
+        handler.exchanges.clear();
+        int const slow = open_and_send(ip, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        cr_assert(
+            run_until(loop, [&handler] { return !handler.exchanges.empty(); }));
+        constexpr std::size_t large = 16U << 20U;
+        handler.exchanges.front()->answer({200, {}, std::string(large, 'x')});
+        int const late = open_and_send(ip, "");
+        std::this_thread::sleep_for(milliseconds(20));
+        std::thread caller(
+            [late]
+            {
+                std::this_thread::sleep_for(milliseconds(50));
+                std::string const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+                ::send(late, request.data(), request.size(), MSG_NOSIGNAL);
+            });
+        server.reset();
+        caller.join();
+        cr_assert(receive_and_close(late).starts_with("HTTP/1.1 504"));
+        ::close(slow);
+    }
+}
