--- a/include/toucanlever/cell/cell_node.hpp
+++ b/include/toucanlever/cell/cell_node.hpp
@@ -108,8 +108,8 @@
     void handle_advice_request(
         advice_request const& request, rpc_responder respond);
 
-    /// Destroys the link to a leader that is replaced, which never calls the
-    /// callbacks of its open requests, and answers the queries among them.
+    /// Closes the link to a leader that is replaced. Queries, submissions and
+    /// all other requests that are open on it fail, and are answered.
     void close_leader_link();
     void send_hello();
     void handle_hello(member_hello const& hello);
@@ -162,9 +162,6 @@
     std::unique_ptr<rpc_server> server;
     // The link to the active scheduler when that is another instance.
     std::unique_ptr<rpc_client> leader_client;
-    // The queries that are open on that link, in the order of their numbers.
-    std::map<std::uint64_t, std::function<void(lookup_result)>> open_queries;
-    std::uint64_t next_query = 1;
     order_relay relay;
     // These four are set while this instance is the active scheduler.
     std::unique_ptr<member_links> members;
--- a/include/toucanlever/wire/rpc.hpp
+++ b/include/toucanlever/wire/rpc.hpp
@@ -69,13 +69,18 @@
     using callback = std::function<void(rpc_result)>;
 
     rpc_client(event_loop& loop, std::string address, rpc_timing timing);
+    /// Drops the open requests; `close` comes first when they are to fail.
     ~rpc_client() override;
 
-    /// Sends a request; `done` is called exactly once. Fails immediately with
-    /// `ran: no` while the link is down.
+    /// Sends a request; `done` is called exactly once, unless this object is
+    /// destroyed before. Fails immediately with `ran: no` while the link is
+    /// down.
     void request(message_type type, std::string body, milliseconds timeout,
         callback done);
 
+    /// Closes the link for good. The open requests fail, with `ran: unknown`.
+    void close();
+
     bool connected() const { return this->is_open; }
     std::string const& address() const { return this->remote; }
 
@@ -97,6 +102,8 @@
     void on_close(link& connection, std::string const& reason) override;
     void dial();
     void handle_link_loss(std::string const& reason);
+    /// Fails the open requests.
+    void fail_requests();
     void check_link();
     void expire_request(std::uint64_t correlation);
     void complete_request(std::uint64_t correlation, rpc_result result);
--- a/src/cell/cell_node.cpp
+++ b/src/cell/cell_node.cpp
@@ -112,12 +112,10 @@
 
 void cell_node::close_leader_link()
 {
-    this->leader_client.reset();
-    auto unanswered = std::move(this->open_queries);
-    this->open_queries.clear();
-    for (auto const& [number, done] : unanswered)
+    if (std::unique_ptr<rpc_client> const closing =
+            std::move(this->leader_client))
     {
-        done(lookup_result::unavailable(lookup_problem::leader_not_answering));
+        closing->close();
     }
 }
 
@@ -418,16 +416,10 @@
         on_no_leader();
         return;
     }
-    std::uint64_t const number = this->next_query++;
-    this->open_queries.emplace(number, std::move(done));
     this->leader_client->request(message_type::work_query,
         pack(work_query{job, wait.count()}), query_timeout + wait,
-        [this, number, alive = this->alive](rpc_result const& result)
+        [done = std::move(done)](rpc_result const& result)
         {
-            if (!*alive)
-            {
-                return;
-            }
             auto found = lookup_result::unavailable(
                 lookup_problem::leader_not_answering);
             if (!result.problem && result.reply &&
@@ -440,10 +432,7 @@
                                 : reply.absent ? lookup_outcome::no_such_job
                                                : lookup_outcome::unavailable;
             }
-            if (auto query = this->open_queries.extract(number))
-            {
-                query.mapped()(found);
-            }
+            done(found);
         });
 }
 
--- a/src/wire/rpc.cpp
+++ b/src/wire/rpc.cpp
@@ -187,6 +187,20 @@
         this->redial_timer = this->loop.after(
             this->timing.redial_delay, [this] { this->dial(); });
     }
+    this->fail_requests();
+}
+
+void rpc_client::close()
+{
+    this->loop.cancel(this->heartbeat_timer);
+    this->loop.cancel(this->redial_timer);
+    this->is_open = false;
+    this->connection.reset();
+    this->fail_requests();
+}
+
+void rpc_client::fail_requests()
+{
     this->expired.clear();
     auto lost = std::move(this->pending);
     this->pending.clear();
--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -27,7 +27,11 @@
     void commit(record_change const& change, milliseconds timeout,
         change_callback done) override
     {
-        if (this->disconnected)
+        if (this->withholds_commits)
+        {
+            return;
+        }
+        if (this->disconnected || this->refuses_commits)
         {
             done({change_outcome::not_done, 0, {}});
             return;
@@ -69,6 +73,9 @@
     }
 
     bool disconnected = false;
+    bool refuses_commits = false;
+    /// Commits are lost, and get no answer.
+    bool withholds_commits = false;
 
 private:
     fake_record_store& backend;
@@ -368,6 +375,36 @@
     cr_assert(answer->problem == lookup_problem::leader_not_answering);
 }
 
+// Guards against callers whose submission was forwarded and stays without an
+// answer, because the link to the former leader is replaced.
+Test(cell_node, a_submission_to_a_replaced_leader_is_in_doubt_and_answered)
+{
+    three_instance_cell cell;
+    std::size_t leader = cell.find_leader();
+    std::size_t asked = (leader + 1) % 3;
+    cell.stores[leader]->disconnected = true;
+    cell.stores[leader]->withholds_commits = true;
+    cell.stores[asked]->refuses_commits = true;
+    work_record record;
+    record.id = "a";
+    record.queue.service = "s";
+    record.steps.resize(1);
+    std::optional<accept_outcome> answer;
+    cell.nodes[asked]->submit(record, milliseconds(60000),
+        [&answer](accept_result const& result) { answer = result.outcome; });
+    cell.run_for(milliseconds(200));
+    cr_assert_not(answer.has_value());
+    leader_row row = unpack<leader_row>(
+        cell.store.find(three_instance_cell::leader_row_key())->value, "test");
+    row.name = "other";
+    row.address = own_ip(30) + ":7500";
+    ++row.fencing_token;
+    cell.store.set(three_instance_cell::leader_row_key(), pack(row));
+    cell.run_for(milliseconds(1500));
+    cr_assert(answer == accept_outcome::unknown);
+    cr_assert(cell.nodes[asked]->is_in_doubt("a"));
+}
+
 Test(cell_node, an_instance_without_the_store_learns_versions_from_the_leader)
 {
     three_instance_cell cell;
