--- a/include/toucanlever/core/settings_file.hpp
+++ b/include/toucanlever/core/settings_file.hpp
@@ -35,6 +35,8 @@
     bool has(std::string const& key) const;
     std::string text(std::string const& key);
     std::string text(std::string const& key, std::string const& fallback);
+    /// The text of a scalar; empty when the key is missing or has no value.
+    std::string optional_text(std::string const& key);
     bool flag(std::string const& key, bool fallback);
 
     /// An integer within [min, max].
--- a/src/core/settings_file.cpp
+++ b/src/core/settings_file.cpp
@@ -118,6 +118,24 @@
     return this->has(key) ? this->text(key) : fallback;
 }
 
+std::string settings_map::optional_text(std::string const& key)
+{
+    if (!this->has(key))
+    {
+        return {};
+    }
+    YAML::Node found = this->find(key, "text");
+    if (found.IsNull())
+    {
+        return {};
+    }
+    if (!found.IsScalar())
+    {
+        this->fail_at(found.Mark(), key, "expected text");
+    }
+    return found.Scalar();
+}
+
 bool settings_map::flag(std::string const& key, bool fallback)
 {
     if (!this->has(key))
