--- a/src/core/event_loop.cpp
+++ b/src/core/event_loop.cpp
@@ -118,9 +118,10 @@
             ACE_Delegating_Time_Policy(&this->policy));
         this->reactor.timer_queue(this->timers.get());
         this->ACE_Event_Handler::reactor(&this->reactor);
-        ACE_Sig_Action ignore_pipe(
-            reinterpret_cast<ACE_SignalHandler>(SIG_IGN));
-        ignore_pipe.register_action(SIGPIPE);
+        ACE_Sig_Action ignore(reinterpret_cast<ACE_SignalHandler>(SIG_IGN));
+        ignore.register_action(SIGPIPE);
+        // Until `run` handles it; the default action ends the process.
+        ignore.register_action(SIGHUP);
     }
 
     ~impl() override
--- a/src/programs/command_line.hpp
+++ b/src/programs/command_line.hpp
@@ -6,6 +6,7 @@
 #include "toucanlever/core/settings_file.hpp"
 #include "toucanlever/core/version.hpp"
 
+#include <csignal>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -32,6 +33,8 @@
 int run_daemon(
     int argc, char** argv, std::string const& program, Load load, Run run)
 {
+    // The settings may change before the event loop handles the signal.
+    std::signal(SIGHUP, SIG_IGN);
     int exit_code = 0;
     auto options = parse_daemon_options(argc, argv, program, exit_code);
     if (!options)
--- a/tests/unit/event_loop.tests.cpp
+++ b/tests/unit/event_loop.tests.cpp
@@ -3,6 +3,8 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
+#include <csignal>
+
 using namespace toucanlever;
 
 Test(event_loop, a_due_timer_fires_however_slow_the_iterations_are)
@@ -40,3 +42,19 @@
     }
     cr_assert(called == later_timers);
 }
+
+// Guards against a process that is ended by a notice of changed settings which
+// arrives while it starts.
+Test(event_loop, a_reload_signal_before_the_loop_runs_is_ignored)
+{
+    steady_clock time;
+    event_loop loop(time);
+    int reloads = 0;
+    loop.on_reload_signal([&reloads] { ++reloads; });
+    std::raise(SIGHUP);
+    cr_assert(reloads == 0);
+    loop.after(milliseconds(1), [] { std::raise(SIGHUP); });
+    loop.after(milliseconds(300), [&loop] { loop.stop(); });
+    loop.run();
+    cr_assert(reloads == 1);
+}
