--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "toucanlever/cell/entitlement_meter.hpp"
+#include "toucanlever/cell/job_snapshot.hpp"
 #include "toucanlever/cell/record_follower.hpp"
 #include "toucanlever/cell/row_cleaner.hpp"
 #include "toucanlever/cell/step_planner.hpp"
@@ -62,6 +63,9 @@
 
 private:
     void on_job_rows(std::vector<record> const& rows);
+    void on_snapshot_read(std::vector<record> const& cancellations);
+    void read_rows(std::vector<record> const& rows);
+    void read_cancellations(std::vector<record> const& rows);
     /// Reads the job of a row; no value when it is to be ignored.
     std::optional<work_record> read_job_row(record const& row);
     /// True when the job is beyond what its customer is entitled to submit.
@@ -84,6 +88,10 @@
     worker_reports reports;
     entitlement_meter entitlements;
     std::unique_ptr<record_follower> job_follower;
+    // The rows of the term's beginning, and those that arrived while these
+    // were read.
+    std::unique_ptr<job_snapshot> snapshot;
+    std::vector<std::vector<record>> rows_after_snapshot;
     std::unique_ptr<record_scan> journal_scan;
     std::optional<std::vector<record>> journal_rows;
     bool jobs_read = false;
--- a/src/cell/dispatcher.cpp
+++ b/src/cell/dispatcher.cpp
@@ -19,6 +19,11 @@
 /// new job to be invisible.
 constexpr milliseconds max_lookup_staleness{2000};
 
+bool is_cancel(record const& row)
+{
+    return row.at.key.ends_with(tables::cancel_suffix);
+}
+
 } // namespace
 
 dispatcher::dispatcher(dispatcher_dependencies collaborators,
@@ -83,31 +88,65 @@
 
 void dispatcher::on_job_rows(std::vector<record> const& rows)
 {
-    std::vector<std::pair<work_record, std::int64_t>> added;
+    if (this->jobs_read)
+    {
+        this->read_rows(rows);
+        return;
+    }
+    if (this->snapshot)
+    {
+        this->rows_after_snapshot.push_back(rows);
+        return;
+    }
+    std::vector<record> cancellations;
+    std::copy_if(
+        rows.begin(), rows.end(), std::back_inserter(cancellations), is_cancel);
+    this->snapshot = std::make_unique<job_snapshot>(
+        this->state.dependencies.loop, rows,
+        [this](record const& row) { return this->read_job_row(row); },
+        [this](work_record job, std::int64_t version)
+        { this->add_job(std::move(job), version); },
+        [this, cancellations = std::move(cancellations)]
+        { this->on_snapshot_read(cancellations); });
+    this->snapshot->start();
+}
+
+void dispatcher::on_snapshot_read(std::vector<record> const& cancellations)
+{
+    this->read_cancellations(cancellations);
+    for (std::vector<record> const& later : this->rows_after_snapshot)
+    {
+        this->read_rows(later);
+    }
+    this->rows_after_snapshot.clear();
+    this->jobs_read = true;
+    this->load_if_complete();
+}
+
+void dispatcher::read_rows(std::vector<record> const& rows)
+{
+    versioned_jobs added;
     for (record const& row : rows)
     {
-        std::string const& key = row.at.key;
-        if (row.removed || key.ends_with(tables::cancel_suffix))
-        {
-            continue;
-        }
         if (auto job = this->read_job_row(row))
         {
             added.emplace_back(std::move(*job), row.version);
         }
     }
-    // What a customer is entitled to depends on its earlier jobs.
-    std::stable_sort(added.begin(), added.end(),
-        [](auto const& left, auto const& right)
-        { return left.first.accepted_ms < right.first.accepted_ms; });
+    sort_by_acceptance(added);
     for (auto& [job, version] : added)
     {
         this->add_job(std::move(job), version);
     }
+    this->read_cancellations(rows);
+}
+
+void dispatcher::read_cancellations(std::vector<record> const& rows)
+{
     for (record const& row : rows)
     {
         std::string const& key = row.at.key;
-        if (!row.removed && key.ends_with(tables::cancel_suffix))
+        if (!row.removed && is_cancel(row))
         {
             std::string job =
                 key.substr(0, key.size() - tables::cancel_suffix.size());
@@ -115,12 +154,14 @@
             this->cancel(job);
         }
     }
-    this->jobs_read = true;
-    this->load_if_complete();
 }
 
 std::optional<work_record> dispatcher::read_job_row(record const& row)
 {
+    if (row.removed || is_cancel(row))
+    {
+        return std::nullopt;
+    }
     try
     {
         auto job = unpack<work_record>(row.value, "record-store");
@@ -305,7 +346,10 @@
     {
         this->cleaner.forget(job);
     }
-    this->cleaner.note_jobs_read(this->job_follower->followed_version());
+    if (this->jobs_read)
+    {
+        this->cleaner.note_jobs_read(this->job_follower->followed_version());
+    }
     this->reports.sweep();
     this->roster.sweep();
     metrics().set("jobs_open",
