--- a/include/toucanlever/cell/dispatcher.hpp
+++ b/include/toucanlever/cell/dispatcher.hpp
@@ -62,7 +62,9 @@
     bool is_loaded() const { return this->loaded; }
 
 private:
+    /// The first rows are those of the whole table, the later ones changes.
     void on_job_rows(std::vector<record> const& rows);
+    /// `cancellations`: the rows of the snapshot that are not jobs.
     void on_snapshot_read(std::vector<record> const& cancellations);
     void read_rows(std::vector<record> const& rows);
     void read_cancellations(std::vector<record> const& rows);
--- a/include/toucanlever/cell/failure_evidence.hpp
+++ b/include/toucanlever/cell/failure_evidence.hpp
@@ -37,9 +37,10 @@
     /// Counts the failures on the worker again. Quarantines it when there are
     /// more than before, and ends its quarantine when too few are left.
     void assess(pool_worker& worker, time_point now);
+    /// The same for all workers on which the step has failed.
     void assess_failing_workers(registry_step const& step, time_point now);
-    /// False when so many workers of the service are in quarantine that the
-    /// cause is rather in the work.
+    /// False when so many workers of its service are in quarantine already that
+    /// the jobs are more likely to be the cause.
     bool may_quarantine(pool_worker const& worker, time_point now) const;
 
     work_registry& registry;
--- a/include/toucanlever/cell/job_snapshot.hpp
+++ b/include/toucanlever/cell/job_snapshot.hpp
@@ -1,8 +1,7 @@
 /// The rows of the job table that a scheduler finds when its term begins.
 ///
-/// They can be megabytes, and reading them at one go would keep the leader's
-/// heartbeats waiting. They are read in parts, with the event loop running in
-/// between.
+/// They can be megabytes, and reading all of them in one turn of the event loop
+/// would delay the leader's heartbeats. They are read in parts, one a turn.
 #pragma once
 
 #include "toucanlever/cell/record_store.hpp"
@@ -35,8 +34,8 @@
     /// Adds a job, with the version of its row.
     using adder = std::function<void(work_record job, std::int64_t version)>;
 
-    /// Bytes of rows that are decoded, and steps of jobs that are added, at one
-    /// go; at least one row, and one job.
+    /// A part ends with the row, or the job, that reaches this many bytes of
+    /// rows to decode, or steps of jobs to add.
     static constexpr std::size_t bytes_per_part = 65536;
     static constexpr std::size_t steps_per_part = 1000;
 
@@ -45,7 +44,8 @@
         adder add, std::function<void()> done);
     ~job_snapshot();
 
-    /// Begins. What fits into one part is done when this returns.
+    /// Begins to read. If all rows fit into one part, `done` is called before
+    /// this returns.
     void start() { this->decode_part(); }
 
 private:
@@ -59,7 +59,7 @@
     adder add;
     std::function<void()> done;
     std::size_t next_row = 0;
-    // The decoded jobs.
+    // The decoded jobs, sorted once all rows are decoded.
     versioned_jobs jobs;
     std::size_t next_job = 0;
     event_loop::timer_id timer = 0;
--- a/include/toucanlever/cell/step_planner.hpp
+++ b/include/toucanlever/cell/step_planner.hpp
@@ -102,8 +102,8 @@
     bool may_start(registry_job const& job) const;
     /// Returns why tasks of the step still wait; `none` when none does.
     wait_reason plan_step(step_rank const& rank);
-    /// How many of so many tasks of the step may be placed within the cap of
-    /// the job's customer. Notes when that are not all of them.
+    /// How many of the `startable` tasks may be placed within the cap of the
+    /// job's customer. Notes when that are not all of them.
     std::uint32_t tasks_within_cap_of(registry_job const& job,
         registry_step const& step, std::uint32_t startable);
     placement_request make_request(
--- a/src/cell/work_registry.cpp
+++ b/src/cell/work_registry.cpp
@@ -33,8 +33,9 @@
 /// A task that fails this soon after it could be started again is delayed
 /// further.
 constexpr std::chrono::seconds quick_failure{3};
-/// Doubles with each failure. By the platform's rule, no job has to wait for 3
-/// s beside free capacity; planning it may take some 300 ms.
+/// The delay after the second failure; it doubles with each further one. By the
+/// platform's rule no job waits for 3 s beside free capacity, and a delay that
+/// is over is noticed within 300 ms.
 constexpr milliseconds first_restart_delay{250};
 constexpr milliseconds max_restart_delay{2000};
 
