--- a/tests/unit/cell_node.tests.cpp
+++ b/tests/unit/cell_node.tests.cpp
@@ -157,6 +157,17 @@
         return static_cast<std::size_t>(row.name.back() - '0');
     }
 
+    /// Another instance, where nothing listens, becomes the leader.
+    void replace_leader()
+    {
+        auto row = unpack<leader_row>(
+            this->store.find(leader_row_key())->value, "test");
+        row.name = "other";
+        row.address = own_ip(30) + ":7500";
+        ++row.fencing_token;
+        this->store.set(leader_row_key(), pack(row));
+    }
+
     accept_outcome submit(std::size_t node, std::string const& id)
     {
         work_record record;
@@ -364,12 +375,7 @@
     cell.nodes[asked]->look_up(
         "a", [&answer](lookup_result const& found) { answer = found; },
         milliseconds(1000));
-    leader_row row = unpack<leader_row>(
-        cell.store.find(three_instance_cell::leader_row_key())->value, "test");
-    row.name = "other";
-    row.address = own_ip(30) + ":7500";
-    ++row.fencing_token;
-    cell.store.set(three_instance_cell::leader_row_key(), pack(row));
+    cell.replace_leader();
     cell.run_for(milliseconds(300));
     cr_assert(answer.has_value());
     cr_assert(answer->problem == lookup_problem::leader_not_answering);
@@ -394,12 +400,7 @@
         [&answer](accept_result const& result) { answer = result.outcome; });
     cell.run_for(milliseconds(200));
     cr_assert_not(answer.has_value());
-    leader_row row = unpack<leader_row>(
-        cell.store.find(three_instance_cell::leader_row_key())->value, "test");
-    row.name = "other";
-    row.address = own_ip(30) + ":7500";
-    ++row.fencing_token;
-    cell.store.set(three_instance_cell::leader_row_key(), pack(row));
+    cell.replace_leader();
     cell.run_for(milliseconds(1500));
     cr_assert(answer == accept_outcome::unknown);
     cr_assert(cell.nodes[asked]->is_in_doubt("a"));
