--- a/tests/unit/http_server.tests.cpp
+++ b/tests/unit/http_server.tests.cpp
@@ -46,6 +46,17 @@
     std::vector<std::shared_ptr<http_exchange>> exchanges;
 };
 
+std::string const request_to_close =
+    "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+/// Time enough to send all answers on a machine that is busy.
+http_limits patient_limits()
+{
+    http_limits limits;
+    limits.closing_time = milliseconds(30000);
+    return limits;
+}
+
 /// Connects and sends `text`; returns the socket.
 int open_and_send(std::string const& ip, std::string const& text)
 {
@@ -182,19 +193,18 @@
     event_loop loop{time};
     silent_handler handler;
     auto server = std::make_unique<http_server>(
-        loop, ip + ":" + std::to_string(port), handler, http_limits{});
+        loop, ip + ":" + std::to_string(port), handler, patient_limits());
     constexpr std::size_t callers = 60;
-    std::string const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
     std::vector<int> sockets;
     while (sockets.size() < callers / 2)
     {
-        sockets.push_back(open_and_send(ip, request));
+        sockets.push_back(open_and_send(ip, request_to_close));
     }
     cr_assert(run_until(
         loop, [&handler] { return handler.exchanges.size() == callers / 2; }));
     while (sockets.size() < callers)
     {
-        sockets.push_back(open_and_send(ip, request));
+        sockets.push_back(open_and_send(ip, request_to_close));
     }
     cr_assert(run_until(
         loop, [&server] { return server->in_progress() == callers; }));
@@ -219,27 +229,35 @@
     for (int i = 0; i < attempts; ++i)
     {
         auto server = std::make_unique<http_server>(
-            loop, ip + ":" + std::to_string(port), handler, http_limits{});
-        // A caller that never reads its answer, which is too large for the
-        // buffers of its connection, keeps the server from closing at once.
+            loop, ip + ":" + std::to_string(port), handler, patient_limits());
+        // An answer that its caller does not read, and that is too large for
+        // the buffers of the connection, keeps the server from closing.
         handler.exchanges.clear();
-        int const slow = open_and_send(ip, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        int const slow = open_and_send(ip, request_to_close);
         cr_assert(
             run_until(loop, [&handler] { return !handler.exchanges.empty(); }));
         constexpr std::size_t large = 16U << 20U;
         handler.exchanges.front()->answer({200, {}, std::string(large, 'x')});
-        int const late = open_and_send(ip, "");
-        std::this_thread::sleep_for(milliseconds(20));
+        // Its first request shows that the server has accepted the connection.
+        int const late = open_and_send(ip, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        cr_assert(run_until(
+            loop, [&handler] { return handler.exchanges.size() == 2; }));
+        handler.exchanges.back()->answer({204, {}, {}});
+        char first[1024];
+        ssize_t const got = ::recv(late, first, sizeof first, 0);
+        cr_assert(got > 0);
+        std::string answer;
         std::thread caller(
-            [late]
+            [late, slow, &answer]
             {
                 std::this_thread::sleep_for(milliseconds(50));
-                std::string const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-                ::send(late, request.data(), request.size(), MSG_NOSIGNAL);
+                ::send(late, request_to_close.data(), request_to_close.size(),
+                    MSG_NOSIGNAL);
+                answer = receive_and_close(late);
+                ::close(slow);
             });
         server.reset();
         caller.join();
-        cr_assert(receive_and_close(late).starts_with("HTTP/1.1 504"));
-        ::close(slow);
+        cr_assert(answer.starts_with("HTTP/1.1 504"), "%s", answer.c_str());
     }
 }
